--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,161 @@
+//! The HTTP face: requests parsed before the core sees them, and answers as the core gives them.
+
+use crate::constants::*;
+use crate::types::JobId;
+use crate::wire::{JobSpec, Report};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+/// An answer to an HTTP request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HttpReply {
+    pub status: u16,
+    pub body: String,
+    pub retry_after_s: Option<u32>,
+}
+
+impl HttpReply {
+    pub fn json(status: u16, body: &impl Serialize) -> Self {
+        Self { status, body: serde_json::to_string(body).unwrap_or_default(), retry_after_s: None }
+    }
+
+    pub fn error(status: u16, text: &str) -> Self {
+        Self::json(status, &serde_json::json!({ "error": text }))
+    }
+
+    /// Cannot be served now; the user learns at once when to come back.
+    pub fn later(text: &str) -> Self {
+        Self { retry_after_s: Some(RETRY_AFTER_S), ..Self::error(503, text) }
+    }
+}
+
+/// A submission as far as it could be read.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Submission {
+    Spec(Box<JobSpec>),
+    /// Malformed; with the id if that much could be read, since a known job is known all the same.
+    Bad {
+        id: Option<JobId>,
+        text: String,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Request {
+    Submit(Submission),
+    View(JobId),
+    Abort(JobId),
+    Up,
+    Report(Box<Report>),
+}
+
+fn submission(body: &[u8]) -> Submission {
+    let bad = |id: Option<JobId>, text: String| Submission::Bad { id, text };
+    let value: Value = match serde_json::from_slice(body) {
+        Ok(value) => value,
+        Err(e) => return bad(None, format!("not JSON: {e}")),
+    };
+    let Value::Object(fields) = &value else {
+        return bad(None, "not an object".into());
+    };
+    let id = fields.get("nameId").and_then(Value::as_str).and_then(JobId::parse);
+    match serde_json::from_value::<JobSpec>(value) {
+        Err(e) => bad(id, e.to_string()),
+        Ok(spec) => match spec.check() {
+            Err(text) => bad(id, text),
+            Ok(()) => Submission::Spec(Box::new(spec)),
+        },
+    }
+}
+
+/// Reads a request; what no slice needs to see is answered here.
+pub fn parse(method: &str, path: &str, body: &[u8]) -> Result<Request, HttpReply> {
+    let path = path.split('?').next().unwrap_or_default();
+    let wrong = || HttpReply::error(405, "method not allowed");
+    if body.len() > BODY_BYTES {
+        return Err(HttpReply::error(413, "the body is over 64 KiB"));
+    }
+    match path {
+        "/v2/runs" if method == "POST" => return Ok(Request::Submit(submission(body))),
+        "/up" if method == "GET" || method == "HEAD" => return Ok(Request::Up),
+        "/v1/report" if method == "POST" => {
+            return serde_json::from_slice(body)
+                .map(|report| Request::Report(Box::new(report)))
+                .map_err(|e| HttpReply::error(400, &format!("report: {e}")));
+        }
+        "/v2/runs" | "/up" | "/v1/report" => return Err(wrong()),
+        _ => {}
+    }
+    let Some(rest) = path.strip_prefix("/v2/runs/") else {
+        return Err(HttpReply::error(404, "no such path"));
+    };
+    let (id, abort) = match rest.strip_suffix("/abort") {
+        Some(id) => (id, true),
+        None => (rest, false),
+    };
+    // An id of another form was never accepted.
+    let id = JobId::parse(id).ok_or_else(|| HttpReply::error(404, "no such job"))?;
+    match (method, abort) {
+        ("GET" | "HEAD", false) => Ok(Request::View(id)),
+        ("POST", true) => Ok(Request::Abort(id)),
+        _ => Err(wrong()),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = r#"{"nameId":"req-000412","jobclass":"train","owner":"vision","shape":"group",
+        "rank":"high","shards":16,"cpus":8.0,"gpus":1.0,"memoryGb":64.0,"bundle":"img-07","pullGb":6.2,
+        "flavors":["g8"],"yard":null,"samePlace":true,"spread":false,"loaners":true,"expectS":240.0,
+        "snapshotS":30.0,"flushS":4.0,"dueS":900.0,"novel":{"ignored":1}}"#;
+
+    fn status(method: &str, path: &str, body: &str) -> u16 {
+        parse(method, path, body.as_bytes()).err().map_or(0, |r| r.status)
+    }
+
+    #[test]
+    fn a_good_submission_is_read_whole() {
+        let Ok(Request::Submit(Submission::Spec(spec))) =
+            parse("POST", "/v2/runs", GOOD.as_bytes())
+        else {
+            panic!("not read");
+        };
+        assert_eq!((spec.tasks, spec.deadline_s, spec.zone), (16, Some(900.0), None));
+    }
+
+    #[test]
+    fn bad_submissions_are_told_apart() {
+        let id = Some(JobId::new("req-000412"));
+        let cases = [
+            ("", None),
+            ("[]", None),
+            ("{}", None),
+            (&*GOOD.replace("16", "0"), id.clone()),
+            (&*GOOD.replace("16", "100001"), id.clone()),
+            (&*GOOD.replace("\"cpus\":8.0", "\"cpus\":-1"), id.clone()),
+            (&*GOOD.replace("\"cpus\":8.0", "\"cpus\":1e999"), None),
+            (&*GOOD.replace("\"cpus\":8.0,", ""), id.clone()),
+            (&*GOOD.replace("\"group\"", "\"choir\""), id.clone()),
+            (&*GOOD.replace("req-000412", "job-1"), None),
+        ];
+        for (body, known) in cases {
+            match parse("POST", "/v2/runs", body.as_bytes()) {
+                Ok(Request::Submit(Submission::Bad { id, .. })) => assert_eq!(id, known, "{body}"),
+                other => panic!("{body}: {other:?}"),
+            }
+        }
+    }
+
+    #[test]
+    fn unknown_paths_and_methods_are_refused() {
+        assert_eq!(status("GET", "/nowhere", ""), 404);
+        assert_eq!(status("GET", "/v2/runs/req-x", ""), 404);
+        assert_eq!(status("DELETE", "/v2/runs/req-1", ""), 405);
+        assert_eq!(status("GET", "/v2/runs", ""), 405);
+        assert_eq!(status("POST", "/v1/report", "{"), 400);
+        assert_eq!(status("POST", "/v2/runs", &"x".repeat(BODY_BYTES + 1)), 413);
+        assert_eq!(status("POST", "/v2/runs/req-1/abort", ""), 0);
+    }
+}
--- /dev/null
+++ b/src/cloud.rs
@@ -0,0 +1,331 @@
+//! Dealings with the cloud: catalogue, lists, hires and releases within its budget.
+
+use crate::constants::*;
+use crate::settings::CloudFacts;
+use crate::types::{HostId, Millis, Mono, Token, Zone};
+use crate::wire::{Catalog, Hire, Listed, MachineList};
+use std::collections::{BTreeSet, HashMap, VecDeque};
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum CloudOp {
+    Catalog,
+    List { after: String },
+    Hire(Hire),
+    Release(Vec<HostId>),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum CloudReply {
+    Catalog(Catalog),
+    List(MachineList),
+    Hired(Vec<HostId>),
+    Released,
+    NoCapacity,
+    /// 429, or 503 of an outage.
+    Busy,
+    Malformed(String),
+    Lost,
+}
+
+/// A kind of machine as capacity is counted.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Kind {
+    pub flavor: String,
+    pub zone: Zone,
+    pub spot: bool,
+}
+
+impl From<&Hire> for Kind {
+    fn from(h: &Hire) -> Self {
+        Self { flavor: h.flavor.clone(), zone: h.zone.clone(), spot: h.spot }
+    }
+}
+
+/// What an answer means to the rest of the controller.
+#[derive(Clone, Debug, PartialEq)]
+pub enum News {
+    Catalog(Catalog),
+    /// A whole list, and when its first page was asked for.
+    Listing(Vec<Listed>, Mono),
+    Hired(Hire, Vec<HostId>),
+    Released(Vec<HostId>),
+    Nothing,
+}
+
+#[derive(Debug)]
+struct Asked {
+    hire: Hire,
+    tries: u32,
+    sent: bool,
+}
+
+#[derive(Debug)]
+pub struct CloudDesk {
+    rate: f64,
+    level: f64,
+    at: Mono,
+    token: Token,
+    counter: u64,
+    next_catalog: Mono,
+    catalog_asked: bool,
+    next_list: Mono,
+    list: Option<(Vec<Listed>, Mono)>,
+    list_asked: bool,
+    hires: VecDeque<Asked>,
+    releases: BTreeSet<HostId>,
+    release_asked: bool,
+    paused_until: Mono,
+    refused: HashMap<Kind, Mono>,
+}
+
+impl CloudDesk {
+    pub fn new(facts: &CloudFacts) -> Self {
+        Self {
+            // A little below the budget: other controllers read the catalogue as well.
+            rate: facts.rps * 0.8,
+            level: 1.0,
+            at: Mono(0),
+            token: Token(0),
+            counter: 0,
+            next_catalog: Mono(0),
+            catalog_asked: false,
+            next_list: Mono(0),
+            list: None,
+            list_asked: false,
+            hires: VecDeque::new(),
+            releases: BTreeSet::new(),
+            release_asked: false,
+            paused_until: Mono(0),
+            refused: HashMap::new(),
+        }
+    }
+
+    /// Starts anew as leader: nothing is under way that this controller may count on.
+    pub fn lead(&mut self, token: Token, now: Mono) {
+        self.token = token;
+        self.counter = 0;
+        self.hires.clear();
+        self.releases.clear();
+        self.next_list = now;
+        self.list = None;
+        // Answers to an earlier reign's calls are not waited for.
+        self.list_asked = false;
+        self.release_asked = false;
+        self.refused.clear();
+    }
+
+    /// Asks for machines under a name that no other request ever had: the token is this leader's
+    /// alone and the counter only grows.
+    pub fn hire(&mut self, kind: &Kind, number: u32) {
+        self.counter += 1;
+        let hire = Hire {
+            request: format!("r-{}-{}", self.token, self.counter),
+            flavor: kind.flavor.clone(),
+            zone: kind.zone.clone(),
+            spot: kind.spot,
+            number: number.min(HIRE_MOST),
+        };
+        log::info!("cloud: hiring {number} {kind:?} as {}", hire.request);
+        self.hires.push_back(Asked { hire, tries: 0, sent: false });
+    }
+
+    pub fn release(&mut self, host: &HostId) {
+        self.releases.insert(host.clone());
+    }
+
+    /// Machines asked for but not answered yet.
+    pub fn awaited(&self) -> impl Iterator<Item = (Kind, u32)> + '_ {
+        self.hires.iter().map(|a| (Kind::from(&a.hire), a.hire.number))
+    }
+
+    /// Whether a kind was refused lately.
+    pub fn refused(&self, kind: &Kind, now: Mono) -> bool {
+        self.refused.get(kind).is_some_and(|until| now < *until)
+    }
+
+    pub fn tick(&mut self, now: Mono, leading: bool, have_catalog: bool) -> Vec<CloudOp> {
+        self.level = (self.level + now.since(self.at).secs() * self.rate).min(self.rate.max(1.0));
+        self.at = now;
+        let mut ops = Vec::new();
+        if now < self.paused_until {
+            return ops;
+        }
+        if !self.catalog_asked && now >= self.next_catalog && self.spend() {
+            self.catalog_asked = true;
+            let wait = if have_catalog { CATALOG_EVERY_MS } else { Millis(2_000) };
+            self.next_catalog = now.plus(wait);
+            ops.push(CloudOp::Catalog);
+        }
+        if !leading {
+            return ops;
+        }
+        if !self.release_asked && !self.releases.is_empty() && self.spend() {
+            self.release_asked = true;
+            let hosts = self.releases.iter().take(RELEASE_MOST).cloned().collect();
+            ops.push(CloudOp::Release(hosts));
+        }
+        // One hire at a time: the next one's choice depends on what this one gets.
+        if let Some(first) = self.hires.front()
+            && !first.sent
+            && self.spend()
+            && let Some(first) = self.hires.front_mut()
+        {
+            first.sent = true;
+            ops.push(CloudOp::Hire(first.hire.clone()));
+        }
+        if !self.list_asked && (self.list.is_some() || now >= self.next_list) && self.spend() {
+            self.list_asked = true;
+            let (rows, _) = self.list.get_or_insert((Vec::new(), now));
+            let after = rows.last().map(|r| r.host.to_string()).unwrap_or_default();
+            ops.push(CloudOp::List { after });
+        }
+        ops
+    }
+
+    fn spend(&mut self) -> bool {
+        if self.level < 1.0 {
+            return false;
+        }
+        self.level -= 1.0;
+        true
+    }
+
+    pub fn answered(&mut self, now: Mono, op: &CloudOp, reply: CloudReply) -> News {
+        if matches!(reply, CloudReply::Busy | CloudReply::Lost) {
+            self.paused_until = now.plus(CLOUD_PAUSE_MS);
+        }
+        match op {
+            CloudOp::Catalog => {
+                self.catalog_asked = false;
+                match reply {
+                    CloudReply::Catalog(catalog) => News::Catalog(catalog),
+                    _ => News::Nothing,
+                }
+            }
+            CloudOp::List { .. } => self.on_list(now, reply),
+            CloudOp::Hire(hire) => self.on_hire(now, hire, reply),
+            CloudOp::Release(hosts) => {
+                self.release_asked = false;
+                if reply != CloudReply::Released {
+                    return News::Nothing;
+                }
+                for host in hosts {
+                    self.releases.remove(host);
+                }
+                News::Released(hosts.clone())
+            }
+        }
+    }
+
+    fn on_list(&mut self, now: Mono, reply: CloudReply) -> News {
+        self.list_asked = false;
+        let CloudReply::List(page) = reply else {
+            self.list = None;
+            self.next_list = now.plus(CLOUD_PAUSE_MS);
+            return News::Nothing;
+        };
+        let Some((mut rows, since)) = self.list.take() else {
+            return News::Nothing;
+        };
+        let more = page.more && !page.hosts.is_empty();
+        rows.extend(page.hosts);
+        if more {
+            self.list = Some((rows, since));
+            return News::Nothing;
+        }
+        self.next_list = now.plus(LIST_EVERY_MS);
+        News::Listing(rows, since)
+    }
+
+    fn on_hire(&mut self, now: Mono, hire: &Hire, reply: CloudReply) -> News {
+        let Some(first) = self.hires.front_mut() else {
+            return News::Nothing;
+        };
+        if first.hire.request != hire.request {
+            return News::Nothing;
+        }
+        match reply {
+            CloudReply::Hired(hosts) => {
+                self.hires.pop_front();
+                if (hosts.len() as u32) < hire.number {
+                    log::info!("cloud: {} got {} of {}", hire.request, hosts.len(), hire.number);
+                    self.refused.insert(Kind::from(hire), now.plus(NO_CAPACITY_PAUSE_MS));
+                }
+                News::Hired(hire.clone(), hosts)
+            }
+            CloudReply::NoCapacity => {
+                log::info!("cloud: no capacity for {:?}", Kind::from(hire));
+                self.hires.pop_front();
+                self.refused.insert(Kind::from(hire), now.plus(NO_CAPACITY_PAUSE_MS));
+                News::Nothing
+            }
+            // The same name again: had it been carried out, the answer is the same and nothing
+            // more is rented. Given up, its machines will show in the list and be adopted.
+            CloudReply::Busy | CloudReply::Lost if first.tries < HIRE_TRIES => {
+                first.tries += 1;
+                first.sent = false;
+                News::Nothing
+            }
+            other => {
+                log::warn!("cloud: {} given up: {other:?}", hire.request);
+                self.hires.pop_front();
+                News::Nothing
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn desk() -> (CloudDesk, Kind) {
+        let mut desk = CloudDesk::new(&CloudFacts { rps: 6.0, list_lag_s: 4.0 });
+        desk.lead(Token(7), Mono(0));
+        let kind = Kind { flavor: "f".into(), zone: Zone::new("a"), spot: true };
+        (desk, kind)
+    }
+
+    fn sent_hire(desk: &mut CloudDesk, now: Mono) -> Option<CloudOp> {
+        desk.tick(now, true, true).into_iter().find(|op| matches!(op, CloudOp::Hire(_)))
+    }
+
+    /// A lost answer repeats the same name; a new wish gets a new one; no name comes twice.
+    #[test]
+    fn names_are_never_reused() {
+        let (mut desk, kind) = desk();
+        desk.hire(&kind, 2);
+        let first = sent_hire(&mut desk, Mono(5_000)).unwrap();
+        desk.answered(Mono(5_100), &first, CloudReply::Lost);
+        let again = sent_hire(&mut desk, Mono(10_000)).unwrap();
+        assert_eq!(first, again);
+        desk.answered(Mono(10_100), &again, CloudReply::Hired(vec![HostId::new("i-1")]));
+        assert!(desk.refused(&kind, Mono(10_200)), "partly filled");
+        desk.hire(&kind, 2);
+        let next = sent_hire(&mut desk, Mono(20_000)).unwrap();
+        assert_ne!(first, next);
+    }
+
+    #[test]
+    fn lists_of_many_pages_come_whole() {
+        let (mut desk, _) = desk();
+        let row = |n: u32| Listed {
+            host: HostId::new(&format!("i-{n:06}")),
+            addr: String::new(),
+            flavor: "f".into(),
+            zone: Zone::new("a"),
+            spot: false,
+            status: crate::wire::MachineStatus::Running,
+            age_s: 1.0,
+        };
+        let mut now = Mono(5_000);
+        for n in 0..3 {
+            let ops = desk.tick(now, true, true);
+            let op = ops.iter().find(|op| matches!(op, CloudOp::List { .. })).unwrap();
+            let page = MachineList { hosts: vec![row(n)], more: n < 2 };
+            let news = desk.answered(now, op, CloudReply::List(page));
+            assert_eq!(matches!(news, News::Listing(ref rows, _) if rows.len() == 3), n == 2);
+            now = now.plus(Millis(1_000));
+        }
+    }
+}
--- /dev/null
+++ b/src/constants.rs
@@ -0,0 +1,165 @@
+//! Every constant of the scheduler, with its unit and the reason for its value.
+
+use crate::types::Millis;
+
+// --- Ordinary path (DESIGN) -------------------------------------------------
+
+/// Cores added by one step of the additive increase; the document's α.
+pub const ALPHA_CORES: f64 = 5.0;
+/// Factor of the multiplicative decrease; the document's β.
+pub const BETA: f64 = 0.9;
+/// Variance added per tick (σz²), in (core-seconds)²; the document's figure.
+pub const PROCESS_VARIANCE: f64 = 0.5;
+/// Variance of a measurement (σv²), in (core-seconds)²; the document's figure.
+pub const MEASURE_VARIANCE: f64 = 0.5;
+/// Cores that a job gets before its first measurement; the document's cap.
+pub const UNMEASURED_CAP_CORES: f64 = 10.0;
+/// Time left that a job without any deadline is served in, in seconds (DESIGN).
+pub const UNDATED_S: f64 = 600.0;
+/// Default period of the control loop. DESIGN's 10 s adds one big machine per 100 s, slower than
+/// aims of seconds allow; one second keeps α and reaches a machine in ten.
+pub const TICK_MS: Millis = Millis(1_000);
+
+// --- Clocks and leadership --------------------------------------------------
+
+/// Bound on the drift between two steady clocks, as a share; twice the protocol's 0.05%.
+pub const DRIFT: f64 = 0.001;
+/// Time to live of the leader's lease: several renewals may be lost before a takeover, and a
+/// takeover is still much quicker than a worker's lease.
+pub const LEADER_TTL_MS: Millis = Millis(4_000);
+/// Period of lease renewals: three chances within a time to live.
+pub const RENEW_MS: Millis = Millis(1_000);
+/// Taken off the lease's end, for the time between a check of validity and the answer's last byte
+/// on a starved processor.
+pub const VALIDITY_MARGIN_MS: Millis = Millis(400);
+/// How often a follower re-reads the leader key, should its watch be stuck.
+pub const LEADER_POLL_MS: Millis = Millis(3_000);
+/// Pause after a failed claim, plus up to as much again at random.
+pub const CLAIM_PAUSE_MS: Millis = Millis(300);
+/// How long one watch is held open.
+pub const FOLLOW_HOLD_MS: Millis = Millis(10_000);
+
+// --- State service ----------------------------------------------------------
+
+/// Share of the request and change budgets that the leader may use.
+pub const LEADER_SHARE: f64 = 0.62;
+/// Share that each other controller may use; with the leader's and the rest kept for renewals and
+/// watches the sum stays under 1 for three controllers.
+pub const FOLLOWER_SHARE: f64 = 0.14;
+/// Answers awaited at once besides the writer's.
+pub const STORE_INFLIGHT: usize = 6;
+/// Requests that may wait for the pacer before callers are told to come back.
+pub const STORE_QUEUE: usize = 400;
+/// How long a request may wait for the pacer before it is given up.
+pub const STORE_PATIENCE_MS: Millis = Millis(1_500);
+/// Time-out of one call to the state service.
+pub const STORE_TIMEOUT_MS: Millis = Millis(2_500);
+/// Time-out of a lease renewal: shorter, so that the next chance comes in time.
+pub const RENEW_TIMEOUT_MS: Millis = Millis(1_200);
+/// Pause after 429 or 503 from the state service, plus up to as much again at random.
+pub const STORE_PAUSE_MS: Millis = Millis(250);
+/// Rows asked for per page; the service allows 1,000.
+pub const PAGE_ROWS: u32 = 500;
+/// Bytes of values put into one transaction; the service allows 64 KiB in total.
+pub const TXN_BYTES: usize = 40 * 1024;
+/// Tasks whose assignments share one key: 96 of them stay under 5 KiB, below the smallest value
+/// limit seen fit to support (8 KiB).
+pub const CHUNK_TASKS: u32 = 96;
+
+// --- Users ------------------------------------------------------------------
+
+/// Largest body accepted (protocol).
+pub const BODY_BYTES: usize = 64 * 1024;
+/// What `Retry-After` says when nothing better is known, in seconds.
+pub const RETRY_AFTER_S: u32 = 1;
+/// Most tasks a job may have (protocol).
+pub const MAX_TASKS: u32 = 100_000;
+/// How long a question may wait for the leader before the store is read instead.
+pub const ASK_TIMEOUT_MS: Millis = Millis(700);
+/// After this long a waiting user request is answered 503; users wait 2 s for most answers.
+pub const REQUEST_PATIENCE_MS: Millis = Millis(1_700);
+/// Final states remembered by each controller, so that polls need no read; about 4 MB.
+pub const OVER_CACHE: usize = 20_000;
+/// Requests from users under way at once; beyond it they are told to come back.
+pub const USER_INFLIGHT: usize = 600;
+/// A node whose store calls all failed for this long says so at `/up` if a peer is better off.
+pub const UP_STORE_SILENCE_MS: Millis = Millis(6_000);
+
+// --- Workers ----------------------------------------------------------------
+
+/// Orders in one answer: far below a line of 64 KiB.
+pub const MAX_ORDERS: usize = 300;
+/// Missed reports (in report periods) after which a machine is taken for lost and released.
+pub const SILENT_REPORTS: f64 = 4.5;
+/// A worker may need this long to find a new leader: a time-out, then a try per second.
+pub const REDIRECT_S: f64 = 8.0;
+/// Failures of different jobs that make a machine faulty.
+pub const FAULTY_ERRORS: usize = 2;
+/// Pause before a job that failed is tried again; doubles with each failure.
+pub const ERROR_PAUSE_MS: Millis = Millis(2_000);
+/// Longest such pause.
+pub const ERROR_PAUSE_MAX_MS: Millis = Millis(60_000);
+/// Pause of a machine that refused a start for want of room: its next reports show why.
+pub const NO_ROOM_PAUSE_MS: Millis = Millis(5_000);
+/// Names of released machines are kept this long, to know their late reports.
+pub const TOMBSTONE_MS: Millis = Millis(600_000);
+
+// --- Placement --------------------------------------------------------------
+
+/// Least time between two placement passes: batches what changes together.
+pub const PLACE_EVERY_MS: Millis = Millis(150);
+/// Starts decided in one pass, to bound its processor time.
+pub const PLACE_BATCH: usize = 200;
+/// A machine that is being cleared for a job is kept for it this long.
+pub const RESERVE_MS: Millis = Millis(20_000);
+
+// --- Cloud ------------------------------------------------------------------
+
+/// Period of machine lists.
+pub const LIST_EVERY_MS: Millis = Millis(4_000);
+/// Period of catalogue reads; spot prices move.
+pub const CATALOG_EVERY_MS: Millis = Millis(60_000);
+/// Time-out of one call to the cloud.
+pub const CLOUD_TIMEOUT_MS: Millis = Millis(5_000);
+/// Pause of a kind of machine that was refused for want of capacity.
+pub const NO_CAPACITY_PAUSE_MS: Millis = Millis(15_000);
+/// Pause after 429, 503 or no answer from the cloud.
+pub const CLOUD_PAUSE_MS: Millis = Millis(1_000);
+/// Machines hired by one request (protocol: 50).
+pub const HIRE_MOST: u32 = 50;
+/// Machines released by one request (protocol: 100).
+pub const RELEASE_MOST: usize = 100;
+/// A machine that is not up after this many times its usual boot time is returned.
+pub const BOOT_PATIENCE: f64 = 4.0;
+/// An idle machine is kept at least this long after its last task: starts come in bursts, and the
+/// first minute is paid for in any case.
+pub const IDLE_KEEP_MS: Millis = Millis(20_000);
+/// Attempts at a hire whose answer was lost, before the list is left to show the machines.
+pub const HIRE_TRIES: u32 = 6;
+
+// --- Threads and sockets ----------------------------------------------------
+
+/// Stack of this program's own threads: none recurses, and a controller may have 100 MB.
+pub const THREAD_STACK_BYTES: usize = 256 * 1024;
+/// What may wait for the core thread before callers are told to come back.
+pub const INPUT_QUEUE: usize = 2_000;
+/// Longest sleep of the core thread; the grain of its timers.
+pub const CORE_WAKE_MS: Millis = Millis(50);
+/// Bodies up to this size arrive whole with their request (a trait of the HTTP library).
+pub const INLINE_BODY_BYTES: usize = 1_024;
+/// Threads that read larger bodies, at most.
+pub const BODY_READERS: usize = 64;
+/// Largest answer read from a service: a page is 512 KiB, a watch has no limit of its own.
+pub const ANSWER_BYTES: u64 = 16 * 1024 * 1024;
+/// Calls that may wait for a client thread.
+pub const CALL_QUEUE: usize = 256;
+/// Connections from peers at once.
+pub const MESH_CONNECTIONS: usize = 64;
+/// Time-out of connecting to a peer.
+pub const MESH_CONNECT_MS: Millis = Millis(500);
+/// Pause after a peer could not be reached.
+pub const MESH_RETRY_MS: Millis = Millis(500);
+/// Time-out of writing to a peer.
+pub const MESH_WRITE_MS: Millis = Millis(500);
+/// A silent connection between controllers is closed after this long.
+pub const MESH_IDLE_MS: Millis = Millis(60_000);
--- /dev/null
+++ b/src/edge/clients.rs
@@ -0,0 +1,222 @@
+//! HTTP clients of the state service and the cloud. Every call ends, by an answer or a time-out.
+
+use super::{EdgeError, Input, spawn};
+use crate::cloud::{CloudOp, CloudReply};
+use crate::constants::*;
+use crate::controller::Event;
+use crate::settings::Endpoints;
+use crate::store::{Lane, OpId, StoreOp, StoreReply};
+use crate::types::Millis;
+use crate::wire::{Changes, Epoch, Grant, Hosts, Page, Row};
+use crossbeam::channel::{Receiver, Sender, bounded};
+use serde::de::DeserializeOwned;
+use serde_json::json;
+use std::time::Duration;
+use ureq::Agent;
+
+pub(crate) struct Clients {
+    vital: Sender<(OpId, StoreOp)>,
+    watch: Sender<(OpId, StoreOp)>,
+    plain: Sender<(OpId, StoreOp)>,
+    cloud: Sender<(u64, CloudOp)>,
+}
+
+/// Status and body of an answer; `None`: there was none.
+type Raw = Option<(u16, Vec<u8>)>;
+
+struct Caller {
+    agent: Agent,
+    base: String,
+}
+
+impl Caller {
+    fn new(address: &str, timeout: Millis) -> Self {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(Duration::from_millis(timeout.0)))
+            .max_idle_connections(2)
+            .max_idle_connections_per_host(2)
+            .build();
+        Self { agent: Agent::new_with_config(config), base: format!("http://{address}") }
+    }
+
+    fn finish(result: Result<ureq::http::Response<ureq::Body>, ureq::Error>) -> Raw {
+        let read = result.and_then(|mut answer| {
+            let body = answer.body_mut().with_config().limit(ANSWER_BYTES).read_to_vec()?;
+            Ok((answer.status().as_u16(), body))
+        });
+        read.inspect_err(|e| log::debug!("client: {e}")).ok()
+    }
+
+    fn get(&self, path: &str) -> Raw {
+        Self::finish(self.agent.get(format!("{}{path}", self.base)).call())
+    }
+
+    fn post(&self, path: &str, body: &impl serde::Serialize) -> Raw {
+        let body = serde_json::to_vec(body).ok()?;
+        let request = self.agent.post(format!("{}{path}", self.base));
+        Self::finish(request.content_type("application/json").send(&body[..]))
+    }
+
+    fn delete(&self, path: &str) -> Raw {
+        Self::finish(self.agent.delete(format!("{}{path}", self.base)).call())
+    }
+}
+
+impl Clients {
+    pub fn start(endpoints: &Endpoints, inputs: &Sender<Input>) -> Result<Self, EdgeError> {
+        let hold = Millis(FOLLOW_HOLD_MS.0 + STORE_TIMEOUT_MS.0);
+        let state = &endpoints.state;
+        let store =
+            |name, threads, timeout| pool(name, threads, state, timeout, inputs, call_store);
+        Ok(Self {
+            vital: store("lease", 2, RENEW_TIMEOUT_MS)?,
+            watch: store("watch", 2, hold)?,
+            plain: store("store", STORE_INFLIGHT + 1, STORE_TIMEOUT_MS)?,
+            cloud: pool("cloud", 3, &endpoints.cloud, CLOUD_TIMEOUT_MS, inputs, call_cloud)?,
+        })
+    }
+
+    pub fn store(&self, id: OpId, lane: Lane, op: StoreOp) -> Option<Event> {
+        let to = match lane {
+            Lane::Vital => &self.vital,
+            Lane::Watch => &self.watch,
+            Lane::Write | Lane::Open => &self.plain,
+        };
+        let failed = Event::Store { id, reply: StoreReply::Unsent };
+        to.try_send((id, op)).is_err().then_some(failed)
+    }
+
+    pub fn cloud(&self, id: u64, op: CloudOp) -> Option<Event> {
+        let failed = Event::Cloud { id, reply: CloudReply::Busy };
+        self.cloud.try_send((id, op)).is_err().then_some(failed)
+    }
+}
+
+/// Threads that each take a call, wait for its answer, and hand it to the core.
+fn pool<Id: Send + 'static, Op: Send + 'static>(
+    name: &str,
+    threads: usize,
+    address: &str,
+    timeout: Millis,
+    inputs: &Sender<Input>,
+    call: fn(&Caller, Id, Op) -> Event,
+) -> Result<Sender<(Id, Op)>, EdgeError> {
+    let (sender, queue): (_, Receiver<(Id, Op)>) = bounded(CALL_QUEUE);
+    for _ in 0..threads {
+        let (queue, inputs) = (queue.clone(), inputs.clone());
+        let caller = Caller::new(address, timeout);
+        spawn(name, move || {
+            while let Ok((id, op)) = queue.recv() {
+                if inputs.send(Input::Event(call(&caller, id, op))).is_err() {
+                    return;
+                }
+            }
+        })?;
+    }
+    Ok(sender)
+}
+
+fn escape(text: &str) -> String {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || b"-._~/".contains(&b);
+    let mut out = String::new();
+    for b in text.bytes() {
+        if plain(b) {
+            out.push(b as char);
+        } else {
+            out.push_str(&format!("%{b:02X}"));
+        }
+    }
+    out
+}
+
+fn read<T: DeserializeOwned>(body: &[u8], make: impl FnOnce(T) -> StoreReply) -> StoreReply {
+    match serde_json::from_slice(body) {
+        Ok(value) => make(value),
+        Err(e) => StoreReply::Malformed(format!("unreadable answer: {e}")),
+    }
+}
+
+fn call_store(caller: &Caller, id: OpId, op: StoreOp) -> Event {
+    let raw = match &op {
+        StoreOp::Get { key } => caller.get(&format!("/keys/{key}")),
+        StoreOp::List { prefix, after } => {
+            let mut path = format!("/keys?prefix={}&most={PAGE_ROWS}", escape(prefix));
+            if !after.is_empty() {
+                path.push_str(&format!("&after={}", escape(after)));
+            }
+            caller.get(&path)
+        }
+        StoreOp::Txn(txn) => caller.post("/multi", txn),
+        StoreOp::Grant { ttl_ms } => caller.post("/grants", &json!({ "ttlMs": ttl_ms })),
+        StoreOp::Touch { lease } => caller.post(&format!("/grants/{lease}/touch"), &json!({})),
+        StoreOp::Revoke { lease } => caller.delete(&format!("/grants/{lease}")),
+        StoreOp::Follow { prefix, after } => {
+            let hold = FOLLOW_HOLD_MS.0;
+            caller.get(&format!("/follow?prefix={}&after={after}&holdMs={hold}", escape(prefix)))
+        }
+    };
+    let reply = match raw {
+        None => StoreReply::Lost,
+        Some((429, _)) => StoreReply::Throttled,
+        Some((503, _)) => StoreReply::Refused,
+        Some((200, body)) => match op {
+            StoreOp::Get { .. } => read(&body, |row: Row| StoreReply::Found(row)),
+            StoreOp::List { .. } => read(&body, |page: Page| StoreReply::Page(page)),
+            StoreOp::Txn(_) => read(&body, |e: Epoch| StoreReply::Committed(e.revision)),
+            StoreOp::Grant { .. } => read(&body, |g: Grant| StoreReply::Granted(g.lease)),
+            StoreOp::Touch { .. } | StoreOp::Revoke { .. } => StoreReply::Touched,
+            StoreOp::Follow { .. } => read(&body, |c: Changes| StoreReply::Changes(c)),
+        },
+        Some((404, body)) => match op {
+            StoreOp::Get { .. } => read(&body, |e: Epoch| StoreReply::Missing(e.revision)),
+            _ => StoreReply::NoSuchLease,
+        },
+        Some((409, body)) => read(&body, |e: Epoch| StoreReply::Conflict(e.failed)),
+        Some((410, _)) => StoreReply::TooOld,
+        // A server's own failure says nothing of what was executed.
+        Some((status, _)) if status >= 500 => StoreReply::Lost,
+        Some((status, body)) => {
+            StoreReply::Malformed(format!("{status} {}", String::from_utf8_lossy(&body)))
+        }
+    };
+    Event::Store { id, reply }
+}
+
+fn call_cloud(caller: &Caller, id: u64, op: CloudOp) -> Event {
+    let raw = match &op {
+        CloudOp::Catalog => caller.get("/catalog"),
+        CloudOp::List { after } => {
+            let mut path = format!("/machines?most={PAGE_ROWS}");
+            if !after.is_empty() {
+                path.push_str(&format!("&after={}", escape(after)));
+            }
+            caller.get(&path)
+        }
+        CloudOp::Hire(hire) => caller.post("/machines", hire),
+        CloudOp::Release(hosts) => {
+            caller.post("/machines/release", &Hosts { hosts: hosts.clone() })
+        }
+    };
+    let parse = |body: &[u8]| -> Result<CloudReply, serde_json::Error> {
+        Ok(match op {
+            CloudOp::Catalog => CloudReply::Catalog(serde_json::from_slice(body)?),
+            CloudOp::List { .. } => CloudReply::List(serde_json::from_slice(body)?),
+            CloudOp::Hire(_) => CloudReply::Hired(serde_json::from_slice::<Hosts>(body)?.hosts),
+            CloudOp::Release(_) => CloudReply::Released,
+        })
+    };
+    let reply = match raw {
+        None => CloudReply::Lost,
+        Some((200, body)) => parse(&body).unwrap_or_else(|e| CloudReply::Malformed(e.to_string())),
+        Some((503, body)) if String::from_utf8_lossy(&body).contains("no capacity") => {
+            CloudReply::NoCapacity
+        }
+        Some((429 | 503, _)) => CloudReply::Busy,
+        Some((status, _)) if status >= 500 => CloudReply::Lost,
+        Some((status, body)) => {
+            CloudReply::Malformed(format!("{status} {}", String::from_utf8_lossy(&body)))
+        }
+    };
+    Event::Cloud { id, reply }
+}
--- /dev/null
+++ b/src/estimate.rs
@@ -0,0 +1,84 @@
+//! The Kalman filter of the design: what one task of a job costs, in core-seconds.
+
+use crate::constants::{MEASURE_VARIANCE, PROCESS_VARIANCE};
+
+/// Estimate of one job's cost per task. Starts with b and p at 0, as the document does.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Kalman {
+    b: f64,
+    p: f64,
+    /// Whether a first measurement has been fed in.
+    measured: bool,
+}
+
+impl Kalman {
+    /// One step with the last tick's measurement (core-seconds per task).
+    pub fn update(&mut self, measurement: f64) {
+        let prior = self.p + PROCESS_VARIANCE;
+        let gain = prior / (prior + MEASURE_VARIANCE);
+        self.b += gain * (measurement - self.b);
+        self.p = (1.0 - gain) * prior;
+        self.measured = true;
+    }
+
+    /// Core-seconds per task, once something was measured.
+    pub fn cost(&self) -> Option<f64> {
+        self.measured.then_some(self.b)
+    }
+}
+
+/// Gathers the completions of one tick into the tick's measurement, their mean.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Measurement {
+    sum: f64,
+    count: u32,
+}
+
+impl Measurement {
+    pub fn add(&mut self, core_seconds: f64) {
+        self.sum += core_seconds;
+        self.count += 1;
+    }
+
+    /// The mean of what was gathered, and starts anew.
+    pub fn take(&mut self) -> Option<f64> {
+        let mean = (self.count > 0).then(|| self.sum / f64::from(self.count));
+        *self = Self::default();
+        mean
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// By hand: p⁻ = 0.5, k = 0.5, b = 50, p = 0.25; then p⁻ = 0.75, k = 0.6, b = 80, p = 0.3.
+    #[test]
+    fn follows_the_document_by_hand() {
+        let mut filter = Kalman::default();
+        assert_eq!(filter.cost(), None);
+        filter.update(100.0);
+        assert!((filter.b - 50.0).abs() < 1e-9 && (filter.p - 0.25).abs() < 1e-9);
+        filter.update(100.0);
+        assert!((filter.b - 80.0).abs() < 1e-9 && (filter.p - 0.3).abs() < 1e-9);
+    }
+
+    #[test]
+    fn gain_settles_near_six_tenths() {
+        let mut filter = Kalman::default();
+        (0..50).for_each(|_| filter.update(0.0));
+        let prior = filter.p + PROCESS_VARIANCE;
+        let gain = prior / (prior + MEASURE_VARIANCE);
+        assert!((gain - 0.618).abs() < 0.001, "{gain}");
+    }
+
+    #[test]
+    fn a_tick_without_completions_measures_nothing() {
+        let mut tick = Measurement::default();
+        assert_eq!(tick.take(), None);
+        tick.add(10.0);
+        tick.add(20.0);
+        assert_eq!(tick.take(), Some(15.0));
+        assert_eq!(tick.take(), None);
+    }
+}
--- /dev/null
+++ b/src/leadership.rs
@@ -0,0 +1,436 @@
+//! Who leads. The leader holds the key `lead` under a lease of the state service; the revision at
+//! which the key was created is the fencing token. Every answer that only a leader may give asks
+//! [`Leadership::valid`] first, whose end counts from the *sending* of the last good renewal.
+
+use crate::constants::*;
+use crate::store::StoreReply;
+use crate::types::{LeaseId, Member, Millis, Mono, Revision, Token};
+use crate::wire::{Change, Condition, Row, Txn};
+use serde::{Deserialize, Serialize};
+
+pub const LEAD_KEY: &str = "lead";
+
+/// Content of the leader key.
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+struct Seat {
+    member: Member,
+    /// Tells this claim from an earlier one of the same member.
+    nonce: u64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Role {
+    /// Another controller leads, or nobody.
+    Follower,
+    /// A lease has been asked for.
+    Granting,
+    /// The claim is under way, or its answer was lost.
+    Claiming { lease: LeaseId, until: Mono, nonce: u64 },
+    /// The key is this controller's; answers are allowed while `until` lies ahead. Past it the
+    /// leader is suspended: it keeps its state, since an outage gives leases their full time back.
+    Leader { lease: LeaseId, until: Mono, token: Token },
+}
+
+/// What the slice wants from the state service.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Ask {
+    Read,
+    Watch(Revision),
+    Grant,
+    Claim(Txn),
+    Touch(LeaseId),
+    Revoke(LeaseId),
+}
+
+/// What the rest of the controller has to know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turn {
+    Elected(Token),
+    Deposed,
+}
+
+#[derive(Debug)]
+pub struct Leadership {
+    me: Member,
+    role: Role,
+    leader: Option<(Member, Token)>,
+    /// Set once the key was seen to be free.
+    vacant: bool,
+    next_read: Mono,
+    next_claim: Mono,
+    next_touch: Mono,
+    watching: bool,
+    reading: bool,
+    turn: Option<Turn>,
+}
+
+fn lease_end(sent: Mono) -> Mono {
+    let ttl = LEADER_TTL_MS.0 as f64 * (1.0 - DRIFT);
+    sent.plus(Millis(ttl as u64 - VALIDITY_MARGIN_MS.0))
+}
+
+impl Leadership {
+    pub fn new(me: Member) -> Self {
+        Self {
+            me,
+            role: Role::Follower,
+            leader: None,
+            vacant: false,
+            next_read: Mono(0),
+            next_claim: Mono(0),
+            next_touch: Mono(0),
+            watching: false,
+            reading: false,
+            turn: None,
+        }
+    }
+
+    /// The token, while this controller may act as leader.
+    pub fn valid(&self, now: Mono) -> Option<Token> {
+        match self.role {
+            Role::Leader { until, token, .. } if now < until => Some(token),
+            _ => None,
+        }
+    }
+
+    pub fn token(&self) -> Option<Token> {
+        match self.role {
+            Role::Leader { token, .. } => Some(token),
+            _ => None,
+        }
+    }
+
+    /// The condition that fences every write of the leader.
+    pub fn fence(&self) -> Option<Condition> {
+        self.token().map(|token| Condition { key: LEAD_KEY.into(), version: Revision(token.0) })
+    }
+
+    /// The other controller that leads, as far as this one knows.
+    pub fn other_leader(&self) -> Option<&Member> {
+        self.leader.as_ref().map(|(member, _)| member).filter(|member| **member != self.me)
+    }
+
+    /// The one place where the role changes.
+    fn enter(&mut self, role: Role, why: &str) {
+        let was_leader = matches!(self.role, Role::Leader { .. });
+        match &role {
+            Role::Leader { token, .. } if !was_leader => {
+                log::info!("leadership: leading with token {token} ({why})");
+                self.leader = Some((self.me.clone(), *token));
+                self.turn = Some(Turn::Elected(*token));
+            }
+            Role::Leader { .. } => {}
+            _ if was_leader => {
+                log::warn!("leadership: no longer leading ({why})");
+                self.leader = None;
+                self.turn = Some(Turn::Deposed);
+            }
+            other => log::debug!("leadership: {other:?} ({why})"),
+        }
+        self.role = role;
+    }
+
+    /// What changed since the last call.
+    pub fn take_turn(&mut self) -> Option<Turn> {
+        self.turn.take()
+    }
+
+    pub fn tick(&mut self, now: Mono) -> Vec<Ask> {
+        let mut asks = Vec::new();
+        match self.role.clone() {
+            Role::Follower => {
+                if self.vacant && now >= self.next_claim {
+                    self.enter(Role::Granting, "the seat is free");
+                    asks.push(Ask::Grant);
+                } else if now >= self.next_read && !self.reading {
+                    self.reading = true;
+                    self.next_read = now.plus(LEADER_POLL_MS);
+                    asks.push(Ask::Read);
+                }
+            }
+            Role::Claiming { until, lease, .. } if now >= until => {
+                // The key may still be created late under this lease, so the lease goes first.
+                self.enter(Role::Follower, "the claim took too long");
+                asks.push(Ask::Revoke(lease));
+            }
+            Role::Leader { lease, .. } if now >= self.next_touch => {
+                self.next_touch = now.plus(RENEW_MS);
+                asks.push(Ask::Touch(lease));
+            }
+            _ => {}
+        }
+        asks
+    }
+
+    /// Another leader's token was shown by a worker: this one's time is over.
+    pub fn outranked(&mut self, token: Token) {
+        if self.token().is_some_and(|mine| token > mine) {
+            self.enter(Role::Follower, "a worker has seen a higher token");
+            self.next_read = Mono(0);
+        }
+    }
+
+    /// A fenced write failed on the leader key.
+    pub fn fenced_off(&mut self) {
+        if matches!(self.role, Role::Leader { .. }) {
+            self.enter(Role::Follower, "a write was fenced off");
+            self.next_read = Mono(0);
+        }
+    }
+
+    /// Takes up an answer to `ask`, which was sent at `sent`. `random` is for the claim.
+    pub fn answered(
+        &mut self,
+        now: Mono,
+        ask: &Ask,
+        sent: Mono,
+        reply: &StoreReply,
+        random: u64,
+    ) -> Vec<Ask> {
+        match ask {
+            Ask::Read => self.on_read(now, reply),
+            Ask::Watch(after) => self.on_watch(*after, reply),
+            Ask::Grant => self.on_grant(now, sent, reply, random),
+            Ask::Claim(_) => self.on_claim(now, reply),
+            Ask::Touch(lease) => self.on_touch(sent, *lease, reply),
+            Ask::Revoke(_) => Vec::new(),
+        }
+    }
+
+    fn watch(&mut self, after: Revision) -> Vec<Ask> {
+        if self.watching {
+            return Vec::new();
+        }
+        self.watching = true;
+        vec![Ask::Watch(after)]
+    }
+
+    fn on_read(&mut self, now: Mono, reply: &StoreReply) -> Vec<Ask> {
+        self.reading = false;
+        match reply {
+            StoreReply::Found(row) => self.on_row(row),
+            StoreReply::Missing(_) => match self.role.clone() {
+                Role::Leader { .. } => {
+                    self.enter(Role::Follower, "the leader key is gone");
+                    self.vacant = true;
+                    Vec::new()
+                }
+                Role::Claiming { .. } => Vec::new(),
+                _ => {
+                    self.leader = None;
+                    self.vacant = true;
+                    self.tick(now)
+                }
+            },
+            _ => Vec::new(),
+        }
+    }
+
+    fn on_row(&mut self, row: &Row) -> Vec<Ask> {
+        self.vacant = false;
+        let token = Token(row.version.0);
+        let Ok(seat) = serde_json::from_value::<Seat>(row.value.clone()) else {
+            log::error!("leadership: the leader key cannot be read");
+            return Vec::new();
+        };
+        match self.role.clone() {
+            Role::Claiming { lease, until, nonce } => {
+                if seat.member == self.me && seat.nonce == nonce {
+                    self.enter(
+                        Role::Leader { lease, until, token },
+                        "the lost claim had succeeded",
+                    );
+                    return Vec::new();
+                }
+                self.enter(Role::Follower, "another claim was first");
+                self.leader = Some((seat.member, token));
+                let mut asks = self.watch(row.version);
+                asks.push(Ask::Revoke(lease));
+                asks
+            }
+            Role::Leader { token: mine, .. } => {
+                if mine != token {
+                    self.enter(Role::Follower, "another leader holds the key");
+                    self.leader = Some((seat.member, token));
+                    return self.watch(row.version);
+                }
+                Vec::new()
+            }
+            _ => {
+                if self.leader.as_ref().is_none_or(|(_, known)| *known != token) {
+                    log::info!("leadership: {} leads with token {token}", seat.member);
+                }
+                self.leader = Some((seat.member, token));
+                self.watch(row.version)
+            }
+        }
+    }
+
+    fn on_watch(&mut self, after: Revision, reply: &StoreReply) -> Vec<Ask> {
+        self.watching = false;
+        if !matches!(self.role, Role::Follower) {
+            return Vec::new();
+        }
+        match reply {
+            StoreReply::Changes(changes) => {
+                for change in &changes.log {
+                    if change.delete.as_deref() == Some(LEAD_KEY) {
+                        log::info!("leadership: the seat fell free");
+                        self.leader = None;
+                        self.vacant = true;
+                    } else if change.put.as_deref() == Some(LEAD_KEY) {
+                        let row = Row {
+                            key: LEAD_KEY.into(),
+                            value: change.value.clone(),
+                            version: change.version,
+                        };
+                        self.watching = true;
+                        self.on_row(&row);
+                        self.watching = false;
+                    }
+                }
+                self.watch(changes.revision.max(after))
+            }
+            // The next read starts the watch again.
+            _ => Vec::new(),
+        }
+    }
+
+    fn on_grant(&mut self, now: Mono, sent: Mono, reply: &StoreReply, random: u64) -> Vec<Ask> {
+        if self.role != Role::Granting {
+            return Vec::new();
+        }
+        let StoreReply::Granted(lease) = *reply else {
+            self.enter(Role::Follower, "no lease was granted");
+            self.vacant = false;
+            self.next_read = now.plus(CLAIM_PAUSE_MS);
+            return Vec::new();
+        };
+        let until = lease_end(sent);
+        self.enter(Role::Claiming { lease, until, nonce: random }, "lease granted");
+        let seat = Seat { member: self.me.clone(), nonce: random };
+        vec![Ask::Claim(Txn {
+            conditions: vec![Condition { key: LEAD_KEY.into(), version: Revision(0) }],
+            changes: vec![Change::Put {
+                key: LEAD_KEY.into(),
+                value: serde_json::json!({"member": seat.member, "nonce": seat.nonce}),
+                lease: Some(lease),
+            }],
+        })]
+    }
+
+    fn on_claim(&mut self, now: Mono, reply: &StoreReply) -> Vec<Ask> {
+        let Role::Claiming { lease, until, .. } = self.role.clone() else {
+            return Vec::new();
+        };
+        match reply {
+            StoreReply::Committed(revision) => {
+                let token = Token(revision.0);
+                self.enter(Role::Leader { lease, until, token }, "claim committed");
+                self.vacant = false;
+                self.next_touch = now;
+                self.tick(now)
+            }
+            // Unresolved: only the key can tell. The claim's own end bounds the wait.
+            StoreReply::Lost => {
+                self.reading = true;
+                vec![Ask::Read]
+            }
+            _ => {
+                self.enter(Role::Follower, "the claim failed");
+                self.vacant = false;
+                self.next_read = now;
+                self.next_claim = now.plus(CLAIM_PAUSE_MS);
+                vec![Ask::Revoke(lease)]
+            }
+        }
+    }
+
+    fn on_touch(&mut self, sent: Mono, touched: LeaseId, reply: &StoreReply) -> Vec<Ask> {
+        let Role::Leader { lease, until, token } = self.role.clone() else {
+            return Vec::new();
+        };
+        if lease != touched {
+            return Vec::new();
+        }
+        match reply {
+            StoreReply::Touched => {
+                let until = until.max(lease_end(sent));
+                self.enter(Role::Leader { lease, until, token }, "renewed");
+            }
+            StoreReply::NoSuchLease => {
+                self.enter(Role::Follower, "the lease has ended");
+                self.next_read = Mono(0);
+            }
+            _ => {}
+        }
+        Vec::new()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn elected() -> Leadership {
+        let mut slice = Leadership::new(Member::new("a"));
+        assert_eq!(slice.tick(Mono(0)), vec![Ask::Read]);
+        let asks =
+            slice.answered(Mono(1), &Ask::Read, Mono(0), &StoreReply::Missing(Revision(1)), 7);
+        assert_eq!(asks, vec![Ask::Grant]);
+        let granted = StoreReply::Granted(LeaseId(3));
+        let asks = slice.answered(Mono(50), &Ask::Grant, Mono(10), &granted, 7);
+        let committed = StoreReply::Committed(Revision(9));
+        slice.answered(Mono(60), &asks[0], Mono(50), &committed, 7);
+        slice
+    }
+
+    /// Validity counts from the sending of the grant, not from its answer.
+    #[test]
+    fn validity_counts_from_the_sending() {
+        let mut slice = elected();
+        assert_eq!(slice.take_turn(), Some(Turn::Elected(Token(9))));
+        let end = lease_end(Mono(10));
+        assert!(end < Mono(10).plus(LEADER_TTL_MS));
+        assert_eq!(slice.valid(Mono(end.0 - 1)), Some(Token(9)));
+        assert_eq!(slice.valid(end), None);
+        // Renewed late, as after an outage: the same token is valid again.
+        slice.answered(Mono(9_000), &Ask::Touch(LeaseId(3)), Mono(8_990), &StoreReply::Touched, 0);
+        assert_eq!(slice.valid(Mono(9_000)), Some(Token(9)));
+    }
+
+    #[test]
+    fn an_ended_lease_or_a_higher_token_deposes() {
+        let mut slice = elected();
+        slice.take_turn();
+        slice.answered(Mono(70), &Ask::Touch(LeaseId(3)), Mono(65), &StoreReply::NoSuchLease, 0);
+        assert_eq!(slice.take_turn(), Some(Turn::Deposed));
+        let mut slice = elected();
+        slice.take_turn();
+        slice.outranked(Token(9));
+        assert_eq!(slice.take_turn(), None);
+        slice.outranked(Token(10));
+        assert_eq!(slice.take_turn(), Some(Turn::Deposed));
+    }
+
+    /// A claim whose answer was lost is settled by reading the key, by nonce and not by name.
+    #[test]
+    fn a_lost_claim_is_settled_by_the_key() {
+        for (nonce, wins) in [(7, true), (8, false)] {
+            let mut slice = Leadership::new(Member::new("a"));
+            slice.tick(Mono(0));
+            slice.answered(Mono(1), &Ask::Read, Mono(0), &StoreReply::Missing(Revision(1)), 7);
+            let asks =
+                slice.answered(Mono(2), &Ask::Grant, Mono(1), &StoreReply::Granted(LeaseId(3)), 7);
+            let asks = slice.answered(Mono(3), &asks[0], Mono(2), &StoreReply::Lost, 0);
+            assert_eq!(asks, vec![Ask::Read]);
+            let row = Row {
+                key: LEAD_KEY.into(),
+                value: serde_json::json!({"member": "a", "nonce": nonce}),
+                version: Revision(5),
+            };
+            slice.answered(Mono(4), &Ask::Read, Mono(3), &StoreReply::Found(row), 0);
+            assert_eq!(slice.valid(Mono(5)).is_some(), wins);
+        }
+    }
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,64 @@
+//! The command line: reads and checks settings, sets up logging, runs a controller.
+
+use clap::Parser;
+use oatloom::settings::{Operators, Settings, SettingsError};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// A controller of the oatloom cluster scheduler.
+#[derive(Parser)]
+#[command(
+    version,
+    about,
+    after_help = "The variable LOG_LEVEL sets how much is logged to standard \
+error: error, warn, info, debug or trace."
+)]
+struct Arguments {
+    /// The platform's settings file (TOML)
+    #[arg(long, value_name = "FILE")]
+    config: PathBuf,
+    /// The operators' own settings (an S-expression; see deploy/operators.sample.lisp)
+    #[arg(long, value_name = "FILE")]
+    operators: Option<PathBuf>,
+    /// Check the settings and end without starting
+    #[arg(long)]
+    check: bool,
+}
+
+fn load(arguments: &Arguments) -> Result<(Settings, Operators), SettingsError> {
+    let settings = Settings::load(&arguments.config)?;
+    let operators = match &arguments.operators {
+        Some(path) => Operators::load(path)?,
+        None => Operators::default(),
+    };
+    Ok((settings, operators))
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    let (settings, operators) = match load(&arguments) {
+        Ok(loaded) => loaded,
+        Err(e) => {
+            eprintln!("oatloom: {e}");
+            return ExitCode::from(2);
+        }
+    };
+    if arguments.check {
+        println!("settings of {} are sound", settings.member);
+        return ExitCode::SUCCESS;
+    }
+    let wanted = std::env::var("LOG_LEVEL").unwrap_or_else(|_| operators.log_level.clone());
+    let level = wanted.parse().unwrap_or(log::LevelFilter::Info);
+    env_logger::Builder::new()
+        .filter_level(log::LevelFilter::Warn)
+        .filter_module("oatloom", level)
+        .format_target(false)
+        .init();
+    match oatloom::edge::run(settings, operators) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("oatloom: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/placement.rs
@@ -0,0 +1,611 @@
+//! Which task starts where. One pass looks at all open jobs in order of rank, guarantee and
+//! urgency, places what fits on live machines, counts the rest against machines on their way, and
+//! says what else should be hired and what should make room.
+
+use crate::cloud::Kind;
+use crate::constants::*;
+use crate::jobs::{Book, Gang, Job, JobState, StopWhy, Usage};
+use crate::settings::Settings;
+use crate::types::*;
+use crate::wire::{Flavor, Shape};
+use crate::workers::{Fleet, Life, Machine, Room};
+use std::collections::{BTreeMap, HashMap};
+
+/// What one pass decides.
+#[derive(Debug, Default)]
+pub struct Plan {
+    pub starts: Vec<(JobId, u32, HostId)>,
+    /// Tasks that should make room, and the machine to keep for the job that needs it.
+    pub stops: Vec<(TaskId, StopWhy, f64)>,
+    pub reserve: Vec<(HostId, JobId)>,
+    /// Machines wanted; `true` where the loop's bound must not hold them back.
+    pub hires: Vec<(Kind, bool)>,
+}
+
+pub struct Inputs<'a> {
+    pub now: Mono,
+    pub settings: &'a Settings,
+    pub book: &'a mut Book,
+    pub fleet: &'a Fleet,
+    /// Tasks that each array may have running at once by its rate.
+    pub paced: &'a HashMap<JobId, u32>,
+    pub awaited: Vec<(Kind, u32)>,
+    pub refused: &'a dyn Fn(&Kind) -> bool,
+}
+
+/// Room on a machine that is live, on its way, or only wished for.
+#[derive(Clone, Debug)]
+struct Slot {
+    host: Option<HostId>,
+    live: bool,
+    flavor: String,
+    zone: Zone,
+    spot: bool,
+    free: Room,
+    whole: Room,
+    reserved: Option<JobId>,
+    fetch: f64,
+}
+
+/// What a task of a job needs and may use.
+struct Need<'a> {
+    job: &'a Job,
+    room: Room,
+}
+
+impl Need<'_> {
+    fn allows(&self, flavor: &str, zone: &Zone, spot: bool) -> bool {
+        let spec = &self.job.spec;
+        spec.flavors.as_ref().is_none_or(|f| f.iter().any(|x| x == flavor))
+            && spec.zone.as_ref().is_none_or(|z| z == zone)
+            && (spec.spot || !spot)
+    }
+
+    /// Most tasks that one zone may hold, given the spread rule.
+    fn zone_cap(&self) -> u32 {
+        if self.job.spec.spread { self.job.spec.tasks.div_ceil(2) } else { u32::MAX }
+    }
+
+    fn zone_open(&self, zone: &Zone, zones: &BTreeMap<Zone, u32>) -> bool {
+        let here = zones.get(zone).copied().unwrap_or(0);
+        let others = zones.iter().any(|(z, n)| z != zone && *n > 0);
+        here < self.zone_cap() && !(self.job.spec.one_zone && others)
+    }
+}
+
+/// Whether a task of the job fits some machine type that it may use.
+pub fn fits_some(spec: &crate::wire::JobSpec, flavors: &[Flavor]) -> bool {
+    let need = Room::from(spec);
+    flavors.iter().any(|f| {
+        spec.flavors.as_ref().is_none_or(|list| list.contains(&f.label))
+            && spec.zone.as_ref().is_none_or(|z| f.zones.contains(z))
+            && Room::from(f).fits(&need)
+    })
+}
+
+/// Seconds within which the users' aims want the class started or done, whichever is known.
+pub fn objective(settings: &Settings, class: &str, kind: &str) -> Option<f64> {
+    settings
+        .facts
+        .objectives
+        .iter()
+        .filter(|o| o.kind == kind && o.class.as_deref() == Some(class))
+        .filter_map(|o| o.within_s)
+        .reduce(f64::min)
+}
+
+/// When the job ought to be complete.
+pub fn due(settings: &Settings, job: &Job) -> Mono {
+    let spec = &job.spec;
+    let within = spec
+        .deadline_s
+        .or_else(|| objective(settings, &spec.class, "finished"))
+        .unwrap_or(UNDATED_S);
+    job.submitted.plus(Millis::from_secs(within))
+}
+
+struct Pass<'a> {
+    now: Mono,
+    settings: &'a Settings,
+    fleet: &'a Fleet,
+    refused: &'a dyn Fn(&Kind) -> bool,
+    slots: Vec<Slot>,
+    usage: HashMap<String, Usage>,
+    plan: Plan,
+}
+
+/// One pass over all jobs.
+pub fn plan(inputs: Inputs) -> Plan {
+    let Inputs { now, settings, book, fleet, paced, awaited, refused } = inputs;
+    let guaranteed = guaranteed(settings, book);
+    let mut order: Vec<(JobId, Mono)> = book
+        .jobs
+        .iter()
+        .filter(|(_, j)| j.state == JobState::Open && j.pending() > 0 && now >= j.paused_until)
+        .map(|(id, j)| (id.clone(), due(settings, j)))
+        .collect();
+    order.sort_by(|(a, due_a), (b, due_b)| {
+        let (ja, jb) = (&book.jobs[a], &book.jobs[b]);
+        let guarantee = |id| !guaranteed.contains_key(id);
+        (jb.spec.rank, guarantee(a), due_a, a)
+            .cmp(&(ja.spec.rank, guarantee(b), due_b, b))
+            .then(ja.submitted.cmp(&jb.submitted))
+    });
+    let mut pass = Pass {
+        now,
+        settings,
+        fleet,
+        refused,
+        slots: slots(fleet, &awaited, now),
+        usage: book.usage.clone(),
+        plan: Plan::default(),
+    };
+    // Arrays get what their rates allow first, then what is left idle.
+    let mut beyond = Vec::new();
+    for (id, _) in &order {
+        if pass.plan.starts.len() >= PLACE_BATCH {
+            break;
+        }
+        let Some(job) = book.jobs.get_mut(id) else {
+            continue;
+        };
+        let may = match job.spec.shape {
+            Shape::Array => {
+                let allowed = paced.get(id).copied().unwrap_or(1).max(1);
+                let now_may = allowed.saturating_sub(job.held).min(job.pending());
+                if now_may < job.pending() {
+                    beyond.push((id.clone(), now_may));
+                }
+                now_may
+            }
+            _ => job.pending(),
+        };
+        let tasks = job.pending_tasks((may as usize).min(PLACE_BATCH));
+        let book = &*book;
+        let Some(job) = book.get(id) else { continue };
+        if job.spec.shape == Shape::Gang && job.gang == Gang::Idle {
+            pass.gang(job, &tasks, book);
+        } else if !matches!(job.gang, Gang::Running(_) | Gang::Clearing(_)) {
+            pass.singles(job, &tasks, true, book, guaranteed.contains_key(id));
+        }
+    }
+    for (id, taken) in beyond {
+        if pass.plan.starts.len() >= PLACE_BATCH {
+            break;
+        }
+        let Some(job) = book.jobs.get_mut(&id) else {
+            continue;
+        };
+        let tasks = job.pending_tasks(PLACE_BATCH);
+        let rest: Vec<u32> = tasks.into_iter().skip(taken as usize).collect();
+        let job = &book.jobs[&id];
+        pass.singles(job, &rest, false, book, false);
+    }
+    pass.plan
+}
+
+/// Unfinished jobs that fit into their team's guarantee together with its earlier ones.
+fn guaranteed(settings: &Settings, book: &Book) -> HashMap<JobId, ()> {
+    let mut sums: HashMap<&str, Usage> = HashMap::new();
+    let mut jobs: Vec<(&JobId, &Job)> =
+        book.jobs.iter().filter(|(_, j)| j.state == JobState::Open).collect();
+    jobs.sort_by_key(|(id, j)| (j.submitted, (*id).clone()));
+    let mut within = HashMap::new();
+    for (id, job) in jobs {
+        let Some(team) = settings.team(&job.spec.team) else {
+            continue;
+        };
+        if team.cpus <= 0.0 && team.gpus <= 0.0 {
+            continue;
+        }
+        let left = f64::from(job.spec.tasks - job.done);
+        let sum = sums.entry(team.name.as_str()).or_default();
+        sum.cpus += job.spec.cpus * left;
+        sum.gpus += job.spec.gpus * left;
+        // 0 means none: a team with only GPUs guaranteed is held to those.
+        let fits = |used: f64, cap: f64| cap <= 0.0 || used <= cap + 1e-6;
+        if fits(sum.cpus, team.cpus) && fits(sum.gpus, team.gpus) {
+            within.insert(id.clone(), ());
+        }
+    }
+    within
+}
+
+/// Whether new tasks may go to the machine.
+fn usable(m: &Machine, now: Mono) -> bool {
+    m.life == Life::Live && now >= m.paused_until
+}
+
+fn slots(fleet: &Fleet, awaited: &[(Kind, u32)], now: Mono) -> Vec<Slot> {
+    let mut slots = Vec::new();
+    for m in fleet.machines.values() {
+        let live = usable(m, now);
+        if !live && m.life != Life::Booting {
+            continue;
+        }
+        let Some(flavor) = fleet.flavor(&m.flavor) else {
+            continue;
+        };
+        slots.push(Slot {
+            host: Some(m.id.clone()),
+            live,
+            flavor: m.flavor.clone(),
+            zone: m.zone.clone(),
+            spot: m.spot,
+            free: fleet.free_room(m),
+            whole: Room::from(flavor),
+            reserved: m
+                .reserved
+                .as_ref()
+                .filter(|(_, until)| now < *until)
+                .map(|(job, _)| job.clone()),
+            fetch: flavor.fetch_gb_per_s,
+        });
+    }
+    for (kind, number) in awaited {
+        let Some(flavor) = fleet.flavor(&kind.flavor) else {
+            continue;
+        };
+        for _ in 0..*number {
+            slots.push(new_slot(kind, flavor));
+        }
+    }
+    slots
+}
+
+fn new_slot(kind: &Kind, flavor: &Flavor) -> Slot {
+    Slot {
+        host: None,
+        live: false,
+        flavor: kind.flavor.clone(),
+        zone: kind.zone.clone(),
+        spot: kind.spot,
+        free: Room::from(flavor),
+        whole: Room::from(flavor),
+        reserved: None,
+        fetch: flavor.fetch_gb_per_s,
+    }
+}
+
+impl Pass<'_> {
+    /// How many more tasks the team's limit allows.
+    fn within_limit(&self, job: &Job) -> u32 {
+        let Some(team) = self.settings.team(&job.spec.team) else {
+            return 0;
+        };
+        let used = self.usage.get(&job.spec.team).copied().unwrap_or_default();
+        let more = |cap: f64, used: f64, each: f64| {
+            if cap <= 0.0 || each <= 0.0 {
+                f64::MAX
+            } else {
+                ((cap - used) / each + 1e-6).floor().max(0.0)
+            }
+        };
+        let count = more(team.cpus_max, used.cpus, job.spec.cpus).min(more(
+            team.gpus_max,
+            used.gpus,
+            job.spec.gpus,
+        ));
+        if count >= f64::from(u32::MAX) { u32::MAX } else { count as u32 }
+    }
+
+    fn count_usage(&mut self, job: &Job, tasks: f64) {
+        let usage = self.usage.entry(job.spec.team.clone()).or_default();
+        usage.cpus += job.spec.cpus * tasks;
+        usage.gpus += job.spec.gpus * tasks;
+    }
+
+    /// Lower is better: a fetch costs its time, then the tightest fit wins.
+    fn score(&self, need: &Need, slot: &Slot) -> f64 {
+        let spec = &need.job.spec;
+        let cached = slot
+            .host
+            .as_ref()
+            .and_then(|h| self.fleet.machines.get(h))
+            .is_some_and(|m| m.has_image(&spec.image));
+        let fetch_s = if cached || slot.fetch <= 0.0 { 0.0 } else { spec.image_gb / slot.fetch };
+        let mut left = slot.free;
+        left.take(&need.room);
+        let spare = left.share_of(&slot.whole);
+        let dear = if spec.spot && !slot.spot { 0.5 } else { 0.0 };
+        fetch_s / 20.0 + spare + dear
+    }
+
+    fn best(
+        &self,
+        need: &Need,
+        live: bool,
+        zones: &BTreeMap<Zone, u32>,
+        only: Option<&Zone>,
+    ) -> Option<usize> {
+        let id = &need.job.spec.id;
+        self.slots
+            .iter()
+            .enumerate()
+            .filter(|(_, s)| s.live == live && s.free.fits(&need.room))
+            .filter(|(_, s)| s.reserved.as_ref().is_none_or(|r| r == id))
+            .filter(|(_, s)| need.allows(&s.flavor, &s.zone, s.spot))
+            .filter(|(_, s)| only.is_none_or(|z| *z == s.zone))
+            .filter(|(_, s)| need.zone_open(&s.zone, zones))
+            .map(|(i, s)| (i, self.score(need, s)))
+            .min_by(|a, b| a.1.total_cmp(&b.1))
+            .map(|(i, _)| i)
+    }
+
+    /// Tasks that start one by one.
+    fn singles(&mut self, job: &Job, tasks: &[u32], hire: bool, book: &Book, owed: bool) {
+        let need = Need { job, room: Room::from(&*job.spec) };
+        let most = self.within_limit(job) as usize;
+        let mut zones = job.zones.clone();
+        let mut wanting = 0;
+        for index in tasks.iter().take(most) {
+            if let Some(at) = self.best(&need, true, &zones, None) {
+                self.take(at, &need, &mut zones);
+                let Some(host) = self.slots[at].host.clone() else {
+                    continue;
+                };
+                self.plan.starts.push((job.spec.id.clone(), *index, host));
+                continue;
+            }
+            if !hire {
+                break;
+            }
+            wanting += 1;
+            let urgent = job.spec.shape != Shape::Array || owed;
+            if !self.count_on_new(&need, &mut zones, None, urgent) {
+                break;
+            }
+        }
+        if wanting > 0 && hire {
+            self.make_room(&need, book, owed, wanting);
+        }
+    }
+
+    fn take(&mut self, at: usize, need: &Need, zones: &mut BTreeMap<Zone, u32>) {
+        let slot = &mut self.slots[at];
+        slot.free.take(&need.room);
+        *zones.entry(slot.zone.clone()).or_default() += 1;
+        self.count_usage(need.job, 1.0);
+    }
+
+    /// Counts a task against a machine on its way, or wishes for another one.
+    fn count_on_new(
+        &mut self,
+        need: &Need,
+        zones: &mut BTreeMap<Zone, u32>,
+        only: Option<&Zone>,
+        urgent: bool,
+    ) -> bool {
+        let at = match self.best(need, false, zones, only) {
+            Some(at) => at,
+            None => {
+                let Some((kind, slot)) = self.wish(need, zones, only) else {
+                    return false;
+                };
+                self.plan.hires.push((kind, urgent));
+                self.slots.push(slot);
+                self.slots.len() - 1
+            }
+        };
+        self.take(at, need, zones);
+        true
+    }
+
+    /// The cheapest kind of machine that a task may use and that was not refused lately.
+    fn wish(
+        &self,
+        need: &Need,
+        zones: &BTreeMap<Zone, u32>,
+        only: Option<&Zone>,
+    ) -> Option<(Kind, Slot)> {
+        let catalog = self.fleet.catalog.as_ref()?;
+        let mut best: Option<(f64, Kind, Slot)> = None;
+        for flavor in &catalog.flavors {
+            let whole = Room::from(flavor);
+            if !whole.fits(&need.room) {
+                continue;
+            }
+            for zone in &flavor.zones {
+                for spot in [true, false] {
+                    let kind = Kind { flavor: flavor.label.clone(), zone: zone.clone(), spot };
+                    if !need.allows(&flavor.label, zone, spot)
+                        || only.is_some_and(|z| z != zone)
+                        || !need.zone_open(zone, zones)
+                        || (self.refused)(&kind)
+                    {
+                        continue;
+                    }
+                    let price = if spot { flavor.spot_price } else { flavor.price };
+                    let there = self.slots.iter().filter(|s| s.zone == *zone).count() as f64;
+                    // Equal prices: the zone with fewer machines, so that losses of a zone weigh less.
+                    let cost = price * need.room.share_of(&whole) * (1.0 + there / 1000.0);
+                    if best.as_ref().is_none_or(|(c, _, _)| cost < *c) {
+                        let slot = new_slot(&kind, flavor);
+                        best = Some((cost, kind, slot));
+                    }
+                }
+            }
+        }
+        best.map(|(_, kind, slot)| (kind, slot))
+    }
+
+    /// A gang starts whole or not at all.
+    fn gang(&mut self, job: &Job, tasks: &[u32], book: &Book) {
+        let need = Need { job, room: Room::from(&*job.spec) };
+        if (self.within_limit(job)) < job.spec.tasks || tasks.len() < job.spec.tasks as usize {
+            return;
+        }
+        let sites: Vec<Option<Zone>> = if job.spec.one_zone {
+            self.settings.facts.zones.iter().cloned().map(Some).collect()
+        } else {
+            vec![None]
+        };
+        for site in &sites {
+            if let Some(places) = self.gang_places(&need, tasks.len(), site.as_ref()) {
+                for (index, host) in tasks.iter().zip(places) {
+                    self.plan.starts.push((job.spec.id.clone(), *index, host));
+                }
+                return;
+            }
+        }
+        // Not now: count it against live room first, then machines on their way or to be hired,
+        // so that nothing of lower rank takes what it will need.
+        for site in &sites {
+            let before = (self.slots.clone(), self.usage.clone(), self.plan.hires.len());
+            let mut zones = job.zones.clone();
+            let mut placed = true;
+            for _ in tasks {
+                if let Some(at) = self.best(&need, true, &zones, site.as_ref()) {
+                    self.take(at, &need, &mut zones);
+                } else if !self.count_on_new(&need, &mut zones, site.as_ref(), true) {
+                    placed = false;
+                    break;
+                }
+            }
+            if placed {
+                break;
+            }
+            (self.slots, self.usage) = (before.0, before.1);
+            self.plan.hires.truncate(before.2);
+        }
+        self.make_room(&need, book, false, job.spec.tasks);
+    }
+
+    fn gang_places(
+        &mut self,
+        need: &Need,
+        count: usize,
+        site: Option<&Zone>,
+    ) -> Option<Vec<HostId>> {
+        let before = (self.slots.clone(), self.usage.clone());
+        let mut zones = need.job.zones.clone();
+        let mut hosts = Vec::new();
+        for _ in 0..count {
+            let Some(at) = self.best(need, true, &zones, site) else {
+                (self.slots, self.usage) = before;
+                return None;
+            };
+            self.take(at, need, &mut zones);
+            hosts.extend(self.slots[at].host.clone());
+        }
+        Some(hosts)
+    }
+
+    /// Whether a machine that has to boot first would come in time for the job's aim.
+    fn can_wait(&self, job: &Job) -> bool {
+        let Some(within) = objective(self.settings, &job.spec.class, "wait") else {
+            return false;
+        };
+        let left = within - self.now.since(job.submitted).secs();
+        let boot = self
+            .fleet
+            .catalog
+            .iter()
+            .flat_map(|c| c.flavors.iter())
+            .map(|f| f.boot_s * 1.5)
+            .fold(0.0, f64::max);
+        left > boot
+    }
+
+    /// Stops tasks of lower rank, or of teams beyond their guarantee for one that is owed its
+    /// own, on the machine where least work is lost. One machine per pass and job.
+    fn make_room(&mut self, need: &Need, book: &Book, owed: bool, _wanting: u32) {
+        let job = need.job;
+        if self.can_wait(job) {
+            return;
+        }
+        let id = &job.spec.id;
+        let held_for_it =
+            self.fleet.machines.values().any(|m| {
+                m.reserved.as_ref().is_some_and(|(j, until)| j == id && self.now < *until)
+            });
+        if held_for_it || self.plan.reserve.iter().any(|(_, j)| j == id) {
+            return;
+        }
+        let mut best: Option<(f64, HostId, Vec<TaskId>)> = None;
+        for m in self.fleet.machines.values() {
+            let taken = m.reserved.as_ref().is_some_and(|(_, until)| self.now < *until)
+                || self.plan.reserve.iter().any(|(h, _)| *h == m.id);
+            if !usable(m, self.now)
+                || taken
+                || !need.allows(&m.flavor, &m.zone, m.spot)
+                || !need.zone_open(&m.zone, &job.zones)
+                || !self.fleet.room_of(m).fits(&need.room)
+            {
+                continue;
+            }
+            let Some((cost, victims)) = self.victims(m, need, book, owed) else {
+                continue;
+            };
+            if best.as_ref().is_none_or(|(c, _, _)| cost < *c) {
+                best = Some((cost, m.id.clone(), victims));
+            }
+        }
+        let Some((_, host, victims)) = best else {
+            return;
+        };
+        for task in victims {
+            let grace = book.get(&task.job).map_or(0.0, |j| j.spec.save_s);
+            self.plan.stops.push((task, StopWhy::Preempted, grace));
+        }
+        self.plan.reserve.push((host, id.clone()));
+    }
+
+    /// Tasks whose end would make room on the machine, and what work that loses (core-seconds).
+    fn victims(
+        &self,
+        m: &Machine,
+        need: &Need,
+        book: &Book,
+        owed: bool,
+    ) -> Option<(f64, Vec<TaskId>)> {
+        let mut free = self.fleet.free_room(m);
+        let mut candidates: Vec<(f64, &TaskId, &Room)> = Vec::new();
+        for (task, room) in &m.held {
+            let Some(victim) = book.get(&task.job) else {
+                continue;
+            };
+            let Some(hold) = victim.hold(task.index) else {
+                continue;
+            };
+            let lower = victim.spec.rank < need.job.spec.rank;
+            let borrowed = owed
+                && victim.spec.team != need.job.spec.team
+                && self.borrows(&victim.spec.team, book)
+                && victim.spec.shape != Shape::Service;
+            if !(lower || borrowed) || victim.spec.tasks > 1 && victim.spec.shape == Shape::Gang {
+                continue;
+            }
+            if hold.stop.is_some() {
+                free.add(room);
+                continue;
+            }
+            let ran = hold.running_since.map_or(0.0, |t| self.now.since(t).secs());
+            let lost = if victim.spec.checkpoint_s > 0.0 { victim.spec.save_s } else { ran };
+            candidates.push((lost * room.cpus.max(0.1), task, room));
+        }
+        candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut cost = 0.0;
+        let mut victims = Vec::new();
+        for (lost, task, room) in candidates {
+            if free.fits(&need.room) {
+                break;
+            }
+            free.add(room);
+            cost += lost;
+            victims.push(task.clone());
+        }
+        free.fits(&need.room).then_some((cost, victims))
+    }
+
+    /// Whether a team uses more than its guarantee.
+    fn borrows(&self, team: &str, book: &Book) -> bool {
+        let Some(facts) = self.settings.team(team) else {
+            return true;
+        };
+        let used = book.usage.get(team).copied().unwrap_or_default();
+        (facts.gpus > 0.0 && used.gpus > facts.gpus + 1e-6)
+            || (facts.cpus > 0.0 && used.cpus > facts.cpus + 1e-6)
+            || (facts.gpus <= 0.0 && facts.cpus <= 0.0)
+    }
+}
--- /dev/null
+++ b/src/reign.rs
@@ -0,0 +1,919 @@
+//! What a leader does while it leads: compares reports with the book, places tasks, scales.
+//! Holds no sockets and no leadership of its own; [`crate::controller`] calls it only while the
+//! token is valid.
+
+use crate::cloud::{CloudDesk, Kind};
+use crate::constants::*;
+use crate::jobs::*;
+use crate::placement::{self, Inputs, Plan};
+use crate::scaling::{self, Bounds, Demand};
+use crate::settings::{Operators, Settings};
+use crate::types::*;
+use crate::wire::{
+    Cause, JobStatus, Listed, MachineStatus, Order, Report, ReportAnswer, Shape, TaskPhase,
+};
+use crate::workers::{Fleet, Freshness, Life, Room};
+use std::collections::{BTreeMap, HashMap};
+
+/// Where a new leader stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    LoadingLive,
+    LoadingAssigned,
+    Ruling,
+}
+
+#[derive(Debug)]
+pub struct Reign {
+    pub token: Token,
+    pub since: Mono,
+    /// Start of leading, or the latest moment at which validity came back after a lapse; silence
+    /// counts from here at the earliest.
+    pub heard_from: Mono,
+    pub stage: Stage,
+    pub book: Book,
+    pub fleet: Fleet,
+    attempts: u64,
+    planned: f64,
+    paced: HashMap<JobId, u32>,
+    place_dirty: bool,
+    last_place: Mono,
+    next_tick: Mono,
+}
+
+impl Reign {
+    pub fn new(token: Token, now: Mono, mut fleet: Fleet) -> Self {
+        fleet.machines.clear();
+        fleet.gone.clear();
+        Self {
+            token,
+            since: now,
+            heard_from: now,
+            stage: Stage::LoadingLive,
+            book: Book::default(),
+            fleet,
+            attempts: 0,
+            planned: 0.0,
+            paced: HashMap::new(),
+            place_dirty: true,
+            last_place: Mono(0),
+            next_tick: now,
+        }
+    }
+
+    /// The one place where the stage changes.
+    pub fn enter(&mut self, stage: Stage) {
+        log::info!(
+            "reign {}: {:?} -> {:?}, {} jobs",
+            self.token,
+            self.stage,
+            stage,
+            self.book.jobs.len()
+        );
+        self.stage = stage;
+        self.place_dirty = true;
+    }
+
+    pub fn wake(&mut self) {
+        self.place_dirty = true;
+    }
+
+    /// An attempt number that no leader ever used: tokens only grow, and so does the counter.
+    fn new_attempt(&mut self) -> Attempt {
+        self.attempts += 1;
+        Attempt((self.token.0 << 20) + self.attempts)
+    }
+
+    /// Takes up an assignment record from the store.
+    pub fn load_chunk(
+        &mut self,
+        id: &JobId,
+        chunk: u32,
+        record: ChunkRecord,
+        stamp: Revision,
+        now: Mono,
+    ) {
+        let zones: HashMap<HostId, Zone> =
+            record.held.iter().map(|(_, _, host, _, zone)| (host.clone(), zone.clone())).collect();
+        for (index, host) in self.book.load_chunk(id, chunk, record, stamp, now) {
+            let Some(job) = self.book.get(id) else {
+                continue;
+            };
+            let spec = job.spec.clone();
+            let Some(zone) = zones.get(&host) else {
+                continue;
+            };
+            // Its type shows in the list or in its report.
+            let machine = self.fleet.adopt(&host, "", zone, false, now, now);
+            machine.hold(
+                TaskId::new(id, index),
+                Room::from(&*spec),
+                &spec.image,
+                spec.image_gb,
+                f64::MAX,
+            );
+        }
+    }
+
+    /// A held task is proven gone from its machine.
+    fn free(&mut self, id: &JobId, index: u32, done: bool, now: Mono) {
+        if let Some(host) = self.book.get(id).and_then(|j| j.hold(index)).map(|h| h.host.clone())
+            && let Some(machine) = self.fleet.machines.get_mut(&host)
+        {
+            machine.free(&TaskId::new(id, index), now);
+        }
+        self.book.free(id, index, done);
+        self.place_dirty = true;
+        let complete =
+            self.book.get(id).is_some_and(|j| j.state == JobState::Open && j.done == j.spec.tasks);
+        if complete {
+            self.book.end(id, JobStatus::Done, "all tasks are done");
+        }
+    }
+
+    /// A gang's attempt cannot go on: what is left of it has to go.
+    fn clear_gang(&mut self, id: &JobId, why: &str, now: Mono) {
+        let Some(job) = self.book.jobs.get_mut(id) else {
+            return;
+        };
+        let (Gang::Gathering(attempt) | Gang::Running(attempt)) = job.gang else {
+            return;
+        };
+        if job.held == 0 {
+            job.gang_enter(Gang::Idle, why);
+            return;
+        }
+        job.gang_enter(Gang::Clearing(attempt), why);
+        let held: Vec<u32> = job.holds().map(|(i, _)| i).collect();
+        for index in held {
+            self.stop(&TaskId::new(id, index), StopWhy::GangFailed, 0.0, now);
+        }
+    }
+
+    /// Wants a held task to end. One whose start was never sent is gone at once.
+    fn stop(&mut self, task: &TaskId, why: StopWhy, grace_s: f64, now: Mono) {
+        let Some(job) = self.book.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let Some(hold) = job.hold_mut(task.index) else {
+            return;
+        };
+        if hold.run == RunSent::No {
+            self.free(&task.job, task.index, false, now);
+            return;
+        }
+        // A later stop may only shorten the grace.
+        let grace_s = hold.stop.as_ref().map_or(grace_s, |s| s.grace_s.min(grace_s));
+        if hold.stop.is_none() {
+            log::debug!("task {task}: stopping ({why:?}, grace {grace_s} s)");
+        }
+        let since = hold.stop.as_ref().map_or(now, |s| s.since);
+        hold.stop = Some(Stop { why, grace_s, since });
+    }
+
+    /// A job was ended: none of its tasks may start, and those on machines have to go.
+    pub fn end_job(&mut self, id: &JobId, status: JobStatus, why: &str, now: Mono) {
+        self.book.end(id, status, why);
+        let Some(job) = self.book.get(id) else { return };
+        let held: Vec<u32> = job.holds().map(|(i, _)| i).collect();
+        for index in held {
+            self.stop(&TaskId::new(id, index), StopWhy::JobOver, 0.0, now);
+        }
+    }
+
+    /// Takes up a report and answers it; `None` if it deserves no 200.
+    pub fn on_report(&mut self, report: &Report, now: Mono) -> Option<ReportAnswer> {
+        // Guards against a late report of a machine whose release was confirmed.
+        if self.fleet.gone.contains_key(&report.host) {
+            return None;
+        }
+        let fresh = self.fleet.take_report(report, self.token, now);
+        if fresh == Freshness::Stale {
+            return None;
+        }
+        let mut orders = Vec::new();
+        if self.stage == Stage::Ruling {
+            self.end_old_shift(report, now);
+            self.compare(report, fresh, &mut orders, now);
+            self.start_held(report, fresh, &mut orders);
+        }
+        let machine = self.fleet.machines.get_mut(&report.host)?;
+        machine.last_answer = Some(now);
+        machine.answered_tally = report.tally;
+        Some(ReportAnswer { token: self.token, orders })
+    }
+
+    /// A newer shift proves that everything of older ones is gone.
+    fn end_old_shift(&mut self, report: &Report, now: Mono) {
+        for (id, index) in self.held_on(&report.host, |hold| hold.shift < report.shift) {
+            log::info!("task {id}/{index}: gone, {} has a new shift", report.host);
+            self.lost(&id, index, now);
+        }
+    }
+
+    fn held_on(&self, host: &HostId, which: impl Fn(&Hold) -> bool) -> Vec<(JobId, u32)> {
+        let Some(machine) = self.fleet.machines.get(host) else {
+            return Vec::new();
+        };
+        machine
+            .held
+            .keys()
+            .filter(|task| {
+                self.book
+                    .get(&task.job)
+                    .and_then(|j| j.hold(task.index))
+                    .is_some_and(|hold| hold.host == *host && which(hold))
+            })
+            .map(|task| (task.job.clone(), task.index))
+            .collect()
+    }
+
+    /// A task is proven gone without having ended in order.
+    fn lost(&mut self, id: &JobId, index: u32, now: Mono) {
+        self.free(id, index, false, now);
+        if matches!(self.book.get(id).map(|j| j.gang), Some(Gang::Running(_))) {
+            self.clear_gang(id, "a task was lost", now);
+        }
+    }
+
+    /// Compares what a worker lists with what the book holds there.
+    fn compare(&mut self, report: &Report, fresh: Freshness, orders: &mut Vec<Order>, now: Mono) {
+        let host = &report.host;
+        let confirmed = fresh == Freshness::Confirmed;
+        let mut strays = BTreeMap::new();
+        let mut listed = Vec::new();
+        for row in &report.tasks {
+            let Some(task) = TaskId::parse(&row.task) else {
+                continue;
+            };
+            let held_here =
+                self.book.get(&task.job).and_then(|j| j.hold(task.index)).is_some_and(|h| {
+                    h.host == *host && h.attempt == row.attempt && h.shift == report.shift
+                });
+            let exited = row.status == TaskPhase::Exited;
+            if held_here {
+                listed.push(task.clone());
+                if !exited {
+                    self.saw(&task, row.status, report, orders, now);
+                } else if confirmed {
+                    self.exited(&task, row.cause, host, now);
+                }
+                continue;
+            }
+            if !exited {
+                let need =
+                    self.book.get(&task.job).map(|j| Room::from(&*j.spec)).unwrap_or_default();
+                log::warn!("machine {host}: {task} try {} does not belong there", row.attempt);
+                strays.insert((task, row.attempt), need);
+                self.push(
+                    orders,
+                    Order::Stop { task: row.task.clone(), attempt: row.attempt, grace_s: 0.0 },
+                );
+                continue;
+            }
+            if row.cause == Some(Cause::Done) {
+                self.done_elsewhere(&task, now);
+            }
+            // Forgotten only once what it says is durable.
+            if self.book.get(&task.job).is_none_or(|j| j.settled(task.index)) {
+                self.push(orders, Order::Forget { task: row.task.clone(), attempt: row.attempt });
+            }
+        }
+        if let Some(machine) = self.fleet.machines.get_mut(host) {
+            machine.strays = strays;
+        }
+        if confirmed {
+            self.missing(report, &listed, now);
+        }
+    }
+
+    fn push(&self, orders: &mut Vec<Order>, order: Order) {
+        if orders.len() < MAX_ORDERS {
+            orders.push(order);
+        }
+    }
+
+    /// A result that was kept by a machine whose assignment had been given up.
+    fn done_elsewhere(&mut self, task: &TaskId, now: Mono) {
+        let pending = self.book.get(&task.job).is_some_and(|j| {
+            j.state == JobState::Open
+                && j.spec.shape != Shape::Service
+                && j.tasks.get(task.index as usize) == Some(&Task::Pending)
+        });
+        if pending {
+            self.free(&task.job, task.index, true, now);
+        }
+    }
+
+    /// A held task is on its machine in some phase.
+    fn saw(
+        &mut self,
+        task: &TaskId,
+        phase: TaskPhase,
+        report: &Report,
+        orders: &mut Vec<Order>,
+        now: Mono,
+    ) {
+        let Some(job) = self.book.jobs.get_mut(&task.job) else {
+            return;
+        };
+        if job.spec.shape == Shape::Gang
+            && phase == TaskPhase::Running
+            && let Gang::Gathering(attempt) = job.gang
+        {
+            job.gang_enter(Gang::Running(attempt), "its tasks run");
+        }
+        let over = job.state != JobState::Open;
+        let Some(hold) = job.hold_mut(task.index) else {
+            return;
+        };
+        if hold.phase != Some(phase) {
+            log::debug!("task {task}: {phase:?} on {}", report.host);
+            hold.phase = Some(phase);
+        }
+        if hold.run == RunSent::No {
+            // An earlier leader's start command had arrived after all.
+            hold.run = RunSent::Inherited;
+        }
+        if phase == TaskPhase::Running && hold.running_since.is_none() {
+            hold.running_since = Some(now);
+        }
+        if over && hold.stop.is_none() {
+            hold.stop = Some(Stop { why: StopWhy::JobOver, grace_s: 0.0, since: now });
+        }
+        if let Some(stop) = hold.stop {
+            let attempt = hold.attempt;
+            self.push(
+                orders,
+                Order::Stop { task: task.to_string(), attempt, grace_s: stop.grace_s },
+            );
+        }
+    }
+
+    /// A held task has ended, as a report later than its start shows.
+    fn exited(&mut self, task: &TaskId, cause: Option<Cause>, host: &HostId, now: Mono) {
+        let cause = cause.unwrap_or(Cause::Error);
+        log::debug!("task {task}: ended on {host}, {cause:?}");
+        let id = &task.job;
+        let (index, mut gang_over) = (task.index, None);
+        match cause {
+            Cause::Done => {
+                self.measure(task, now);
+                self.free(id, index, true, now);
+                // Tasks of a gang complete together.
+                let rest: Vec<u32> = match self.book.get(id) {
+                    Some(j) if j.spec.shape == Shape::Gang => {
+                        (0..j.spec.tasks).filter(|i| j.tasks[*i as usize] != Task::Done).collect()
+                    }
+                    _ => Vec::new(),
+                };
+                for other in rest {
+                    self.free(id, other, true, now);
+                }
+            }
+            Cause::Stopped => {
+                self.free(id, index, false, now);
+                gang_over = Some("a task was stopped");
+            }
+            Cause::Peers | Cause::Incomplete => {
+                self.free(id, index, false, now);
+                gang_over = Some("its tasks lost each other");
+            }
+            Cause::Error => {
+                self.free(id, index, false, now);
+                self.failed(id, host, now);
+                gang_over = Some("a task failed");
+            }
+            Cause::NoRoom => {
+                log::warn!("machine {host}: no room for {task}");
+                self.free(id, index, false, now);
+                if let Some(machine) = self.fleet.machines.get_mut(host) {
+                    machine.paused_until = now.plus(NO_ROOM_PAUSE_MS);
+                }
+            }
+            Cause::Busy | Cause::Unknown => {
+                log::warn!("machine {host}: refused {task}, {cause:?}");
+                self.free(id, index, false, now);
+                if let Some(job) = self.book.jobs.get_mut(id) {
+                    job.paused_until = now.plus(ERROR_PAUSE_MS);
+                }
+            }
+        }
+        if let Some(why) = gang_over {
+            self.clear_gang(id, why, now);
+        }
+    }
+
+    /// An error: mostly the machine's fault, unless the job fails elsewhere too.
+    fn failed(&mut self, id: &JobId, host: &HostId, now: Mono) {
+        let Some(job) = self.book.jobs.get_mut(id) else {
+            return;
+        };
+        job.errors += 1;
+        job.error_hosts.insert(host.clone());
+        let doublings = job.errors.saturating_sub(1).min(16);
+        let pause = (ERROR_PAUSE_MS.0 << doublings).min(ERROR_PAUSE_MAX_MS.0);
+        job.paused_until = now.plus(Millis(pause));
+        let own_fault = job.error_hosts.len() > 1;
+        let hosts: Vec<HostId> = job.error_hosts.iter().cloned().collect();
+        log::info!("job {id}: error number {} on {host}, next try in {pause} ms", job.errors);
+        if own_fault {
+            // Guards against one broken job spoiling every machine.
+            for host in hosts {
+                if let Some(machine) = self.fleet.machines.get_mut(&host) {
+                    machine.faults.remove(id);
+                }
+            }
+            return;
+        }
+        if let Some(machine) = self.fleet.machines.get_mut(host) {
+            machine.faults.insert(id.clone());
+            machine.paused_until = now.plus(Millis(pause));
+            if machine.faults.len() >= FAULTY_ERRORS {
+                machine.enter(Life::Draining, "different jobs fail on it");
+            }
+        }
+    }
+
+    /// Notes a completed task's cost, in core equivalents times seconds.
+    fn measure(&mut self, task: &TaskId, now: Mono) {
+        let eq = self.book.get(&task.job).map_or(0.0, |j| self.core_equivalents(&j.spec));
+        let Some(job) = self.book.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let Some(since) = job.hold(task.index).and_then(|h| h.running_since) else {
+            return;
+        };
+        let cost = eq * now.since(since).secs();
+        job.measured.add(cost);
+    }
+
+    /// Held tasks that a confirmed report does not list.
+    fn missing(&mut self, report: &Report, listed: &[TaskId], now: Mono) {
+        for (id, index) in self.held_on(&report.host, |h| h.shift == report.shift) {
+            let task = TaskId::new(&id, index);
+            if listed.contains(&task) {
+                continue;
+            }
+            let Some(job) = self.book.jobs.get_mut(&id) else {
+                continue;
+            };
+            let open = job.state == JobState::Open;
+            let gang = job.gang;
+            let Some(hold) = job.hold_mut(index) else {
+                continue;
+            };
+            let sent = match hold.run {
+                RunSent::No => false,
+                RunSent::At(tally) => tally < report.tally,
+                RunSent::Inherited => true,
+            };
+            if !sent {
+                if !open {
+                    self.free(&id, index, false, now);
+                }
+                continue;
+            }
+            let was_seen = hold.phase.is_some();
+            if hold.stop.is_some()
+                || was_seen
+                || !open
+                || !matches!(gang, Gang::Idle | Gang::Gathering(_))
+            {
+                log::info!("task {task}: gone from {}", report.host);
+                self.lost(&id, index, now);
+            } else {
+                // The start command was lost on its way: the same attempt may be sent again.
+                hold.run = RunSent::No;
+            }
+        }
+    }
+
+    /// Start commands for what is assigned here and durable.
+    fn start_held(&mut self, report: &Report, fresh: Freshness, orders: &mut Vec<Order>) {
+        let Some(machine) = self.fleet.machines.get(&report.host) else {
+            return;
+        };
+        if fresh != Freshness::Confirmed || machine.life != Life::Live {
+            return;
+        }
+        let strays: Vec<TaskId> = machine.strays.keys().map(|(t, _)| t.clone()).collect();
+        for (id, index) in self.held_on(&report.host, |h| h.run == RunSent::No) {
+            let Some(job) = self.book.jobs.get_mut(&id) else {
+                continue;
+            };
+            let task = TaskId::new(&id, index);
+            if job.state != JobState::Open || !job.durable(index) || strays.contains(&task) {
+                continue;
+            }
+            let Some(hold) = job.hold_mut(index) else {
+                continue;
+            };
+            if hold.shift != report.shift || hold.stop.is_some() || orders.len() >= MAX_ORDERS {
+                continue;
+            }
+            hold.run = RunSent::At(report.tally);
+            log::debug!("task {task}: run on {} try {}", report.host, hold.attempt);
+            orders.push(Order::Run { task: task.to_string(), attempt: hold.attempt });
+        }
+    }
+
+    /// Everything on a machine is gone for certain.
+    fn machine_gone(&mut self, host: &HostId, why: &str, now: Mono) {
+        for (id, index) in self.held_on(host, |_| true) {
+            self.lost(&id, index, now);
+        }
+        if self.fleet.remove(host, now).is_some() {
+            log::info!("machine {host}: gone ({why})");
+        }
+        self.place_dirty = true;
+    }
+
+    pub fn released(&mut self, hosts: &[HostId], now: Mono) {
+        for host in hosts {
+            self.machine_gone(host, "released", now);
+        }
+    }
+
+    pub fn hired(&mut self, kind: &Kind, hosts: &[HostId], now: Mono) {
+        for host in hosts {
+            if !self.fleet.gone.contains_key(host) {
+                let m = self.fleet.adopt(host, &kind.flavor, &kind.zone, kind.spot, now, now);
+                // A hire's answer may come after the machine's first report; what it says agrees.
+                m.flavor.clone_from(&kind.flavor);
+            }
+        }
+        self.place_dirty = true;
+    }
+
+    /// Takes up a whole machine list. It may be older than the one before: absence proves nothing.
+    pub fn listing(&mut self, rows: &[Listed], lag_s: f64, desk: &mut CloudDesk, now: Mono) {
+        for row in rows {
+            if let Some(at) = self.fleet.gone.get(&row.host) {
+                // Listed long after its release: a late rental, or the release was for naught.
+                if now.since(*at).secs() > 3.0 * lag_s + 40.0 {
+                    desk.release(&row.host);
+                }
+                continue;
+            }
+            let age = Millis::from_secs(row.age_s);
+            let born = Mono(now.0.saturating_sub(age.0));
+            let machine = self.fleet.adopt(&row.host, &row.flavor, &row.zone, row.spot, born, now);
+            if machine.flavor.is_empty() {
+                machine.flavor.clone_from(&row.flavor);
+                machine.spot = row.spot;
+                self.place_dirty = true;
+            }
+            if row.status == MachineStatus::Failed {
+                machine.enter(Life::Releasing, "failed by itself");
+                desk.release(&row.host);
+            }
+        }
+    }
+
+    /// Silence, leases that have run out, drains, and machines that never came up.
+    fn watch_machines(
+        &mut self,
+        settings: &Settings,
+        ops: &Operators,
+        desk: &mut CloudDesk,
+        now: Mono,
+    ) {
+        let facts = &settings.facts.workers;
+        let silent_after = Millis::from_secs(facts.report_s * ops.silent_reports);
+        let found_by = self.heard_from.plus(Millis::from_secs(REDIRECT_S));
+        let silence = |m: &crate::workers::Machine| {
+            let from = m.last_report.unwrap_or(m.born).max(found_by.min(now));
+            now.since(from)
+        };
+        let mut zones: HashMap<Zone, (u32, u32)> = HashMap::new();
+        for m in self.fleet.machines.values() {
+            if m.last_report.is_some() && m.life != Life::Releasing {
+                let (all, silent) = zones.entry(m.zone.clone()).or_default();
+                *all += 1;
+                *silent += u32::from(silence(m) > silent_after);
+            }
+        }
+        let mut expired = Vec::new();
+        for m in self.fleet.machines.values_mut() {
+            if now > Fleet::horizon(m, self.since, facts.lease_s) && !m.held.is_empty() {
+                expired.push(m.id.clone());
+            }
+            if m.life == Life::Releasing {
+                continue;
+            }
+            if m.last_report.is_none() {
+                let boot_s = self
+                    .fleet
+                    .catalog
+                    .as_ref()
+                    .and_then(|c| c.flavors.iter().find(|f| f.label == m.flavor))
+                    .map_or(30.0, |f| f.boot_s);
+                let patience = Millis::from_secs(boot_s * BOOT_PATIENCE + facts.lease_s);
+                let since_lead = now.since(self.heard_from) > silent_after;
+                if now.since(m.born) > patience && since_lead {
+                    m.enter(Life::Releasing, "never reported");
+                    desk.release(&m.id);
+                }
+                continue;
+            }
+            let silent = silence(m) > silent_after && now > found_by.plus(silent_after);
+            if silent && m.life == Life::Live {
+                m.enter(Life::Silent, "no reports");
+            }
+            let (all, quiet) = zones.get(&m.zone).copied().unwrap_or_default();
+            // Guards against taking a cut between zones for the loss of all their machines: they
+            // are left alone until their leases have run out in any case.
+            let cut = quiet >= 3 && quiet * 2 > all;
+            let over = now > Fleet::horizon(m, self.since, facts.lease_s);
+            if silent && (!cut || over) {
+                m.enter(Life::Releasing, "silent for too long");
+                desk.release(&m.id);
+            } else if m.life == Life::Draining && m.empty() && m.taken_at.is_none() {
+                m.enter(Life::Releasing, "drained");
+                desk.release(&m.id);
+            }
+        }
+        for host in expired {
+            for (id, index) in self.held_on(&host, |_| true) {
+                log::info!("task {id}/{index}: gone, the lease of {host} has run out");
+                self.lost(&id, index, now);
+            }
+        }
+    }
+
+    /// Tasks on machines that are to be emptied are asked to save and go.
+    fn drain(&mut self, now: Mono) {
+        let mut stops = Vec::new();
+        for m in self.fleet.machines.values() {
+            if m.life != Life::Draining {
+                continue;
+            }
+            for task in m.held.keys() {
+                let Some(job) = self.book.get(&task.job) else {
+                    continue;
+                };
+                let spec = &job.spec;
+                let Some(hold) = job.hold(task.index) else {
+                    continue;
+                };
+                // Before the cloud takes a machine, work that cannot be saved runs on: it may
+                // still be done in time, and is lost no sooner.
+                let hopeless = m.taken_at.is_some() && spec.checkpoint_s <= 0.0;
+                if hold.stop.is_none() && !(hopeless && hold.run != RunSent::No) {
+                    stops.push((task.clone(), spec.save_s));
+                }
+            }
+        }
+        for (task, grace) in stops {
+            self.stop(&task, StopWhy::Draining, grace, now);
+        }
+    }
+
+    /// Cores of a machine that a task stands for: by what binds first, so that a task that takes a
+    /// quarter of the GPUs counts as a quarter of the cores.
+    fn core_equivalents(&self, spec: &crate::wire::JobSpec) -> f64 {
+        let need = Room::from(spec);
+        self.fleet
+            .catalog
+            .iter()
+            .flat_map(|c| c.flavors.iter())
+            .filter(|f| spec.flavors.as_ref().is_none_or(|l| l.contains(&f.label)))
+            .filter(|f| Room::from(*f).fits(&need))
+            .map(|f| need.share_of(&Room::from(f)) * f.cpus)
+            .reduce(f64::min)
+            .unwrap_or(spec.cpus)
+    }
+
+    /// Rates of all jobs, the target N*, and the floor of services and gangs.
+    fn demand(
+        &mut self,
+        settings: &Settings,
+        tick_s: f64,
+        now: Mono,
+    ) -> (f64, f64, Vec<(JobId, f64, f64)>) {
+        let (mut target, mut floor) = (0.0, 0.0);
+        let mut rates = Vec::new();
+        let ids: Vec<JobId> = self
+            .book
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.state == JobState::Open)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in ids {
+            let Some(spec) = self.book.get(&id).map(|j| j.spec.clone()) else {
+                continue;
+            };
+            let eq = self.core_equivalents(&spec).max(1e-3);
+            let Some(job) = self.book.jobs.get_mut(&id) else {
+                continue;
+            };
+            if let Some(measured) = job.measured.take() {
+                job.cost.update(measured);
+            }
+            let left = f64::from(spec.tasks - job.done);
+            if spec.shape != Shape::Array {
+                target += eq * left;
+                floor += eq * left;
+                continue;
+            }
+            let most = eq * left;
+            let rate = match job.cost.cost() {
+                Some(b) => {
+                    let due = placement::due(settings, job);
+                    let demand = Demand {
+                        work: left * b,
+                        left_s: due.0 as f64 / 1000.0 - now.0 as f64 / 1000.0,
+                        most,
+                    };
+                    demand.rate(tick_s)
+                }
+                None => UNMEASURED_CAP_CORES.min(most),
+            };
+            target += rate;
+            rates.push((id, rate, eq));
+        }
+        (target, floor, rates)
+    }
+
+    fn rented(&self) -> f64 {
+        self.fleet
+            .machines
+            .values()
+            .filter(|m| m.life != Life::Releasing)
+            .filter_map(|m| self.fleet.flavor(&m.flavor))
+            .map(|f| f.cpus)
+            .sum()
+    }
+
+    /// One period of the control loop.
+    fn scale(&mut self, settings: &Settings, ops: &Operators, desk: &mut CloudDesk, now: Mono) {
+        let (target, floor, rates) = self.demand(settings, ops.tick().secs(), now);
+        let awaited: f64 = desk
+            .awaited()
+            .filter_map(|(k, n)| Some(self.fleet.flavor(&k.flavor)?.cpus * f64::from(n)))
+            .sum();
+        let rented = self.rented() + awaited;
+        let factor = scaling::rate_factor(target, rented, ops.beta);
+        self.paced = rates
+            .into_iter()
+            .map(|(id, rate, eq)| (id, (rate * factor / eq).ceil().max(1.0) as u32))
+            .collect();
+        let bounds =
+            Bounds { min: floor, max: if ops.max_cores > 0.0 { ops.max_cores } else { f64::MAX } };
+        self.planned = scaling::step(self.planned, target, bounds, ops.beta);
+        log::debug!(
+            "scaling: N* {target:.0}, floor {floor:.0}, rented {rented:.0}, planned {:.0}",
+            self.planned
+        );
+        let plan = self.place(settings, desk, now);
+        self.hire(plan, rented, bounds.max, desk);
+        self.return_idle(ops, desk, now);
+    }
+
+    /// Hires what the pass wished for: services, gangs and guarantees under the floor, arrays as
+    /// far as the loop has grown.
+    fn hire(&mut self, plan: Plan, rented: f64, most: f64, desk: &mut CloudDesk) {
+        let mut cores = rented;
+        let mut counts: BTreeMap<Kind, u32> = BTreeMap::new();
+        for (kind, urgent) in plan.hires {
+            let Some(flavor) = self.fleet.flavor(&kind.flavor) else {
+                continue;
+            };
+            let allowed = urgent || self.planned >= cores + flavor.cpus / 2.0;
+            if allowed && cores + flavor.cpus <= most.max(flavor.cpus) {
+                cores += flavor.cpus;
+                *counts.entry(kind).or_default() += 1;
+            }
+        }
+        for (kind, number) in counts {
+            desk.hire(&kind, number.min(HIRE_MOST));
+        }
+    }
+
+    /// Returns machines that have been idle, the dearest first, while more is rented than planned.
+    fn return_idle(&mut self, ops: &Operators, desk: &mut CloudDesk, now: Mono) {
+        let keep = Millis(ops.idle_keep_ms);
+        let mut rented = self.rented();
+        let mut idle: Vec<(f64, f64, HostId)> = self
+            .fleet
+            .machines
+            .values()
+            .filter(|m| m.life == Life::Live && m.empty() && now.since(m.idle_since) >= keep)
+            .filter(|m| m.reserved.as_ref().is_none_or(|(_, until)| now >= *until))
+            .filter_map(|m| {
+                let f = self.fleet.flavor(&m.flavor)?;
+                let price = if m.spot { f.spot_price } else { f.price };
+                Some((price / f.cpus.max(1.0), f.cpus, m.id.clone()))
+            })
+            .collect();
+        idle.sort_by(|a, b| b.0.total_cmp(&a.0));
+        for (_, cpus, host) in idle {
+            if rented - cpus < self.planned {
+                continue;
+            }
+            rented -= cpus;
+            if let Some(m) = self.fleet.machines.get_mut(&host) {
+                m.enter(Life::Releasing, "idle");
+                desk.release(&host);
+            }
+        }
+    }
+
+    /// One placement pass; starts and stops are taken up, hires are left to the caller.
+    fn place(&mut self, settings: &Settings, desk: &CloudDesk, now: Mono) -> Plan {
+        self.place_dirty = false;
+        self.last_place = now;
+        let refused = |kind: &Kind| desk.refused(kind, now);
+        let mut plan = placement::plan(Inputs {
+            now,
+            settings,
+            book: &mut self.book,
+            fleet: &self.fleet,
+            paced: &self.paced,
+            awaited: desk.awaited().collect(),
+            refused: &refused,
+        });
+        let mut gangs: HashMap<JobId, Attempt> = HashMap::new();
+        for (id, index, host) in plan.starts.split_off(0) {
+            let attempt = match self.book.get(&id).map(|j| (j.spec.shape, j.gang)) {
+                Some((Shape::Gang, Gang::Gathering(attempt))) => attempt,
+                Some((Shape::Gang, _)) => match gangs.get(&id) {
+                    Some(attempt) => *attempt,
+                    None => self.new_attempt(),
+                },
+                _ => self.new_attempt(),
+            };
+            gangs.insert(id.clone(), attempt);
+            self.assign(&id, index, &host, attempt, now);
+        }
+        for (task, why, grace) in &plan.stops {
+            self.stop(task, *why, *grace, now);
+            self.clear_if_gang(task);
+        }
+        for (host, job) in &plan.reserve {
+            if let Some(m) = self.fleet.machines.get_mut(host) {
+                log::debug!("machine {host}: kept for {job}");
+                m.reserved = Some((job.clone(), now.plus(RESERVE_MS)));
+            }
+        }
+        plan
+    }
+
+    /// A gang of which a task was asked to stop will not go on.
+    fn clear_if_gang(&mut self, task: &TaskId) {
+        if let Some(job) = self.book.jobs.get_mut(&task.job)
+            && let Gang::Gathering(attempt) | Gang::Running(attempt) = job.gang
+            && job.held > 0
+        {
+            job.gang_enter(Gang::Clearing(attempt), "stopped to make room");
+        }
+    }
+
+    fn assign(&mut self, id: &JobId, index: u32, host: &HostId, attempt: Attempt, now: Mono) {
+        let Some(spec) = self.book.get(id).map(|j| j.spec.clone()) else {
+            return;
+        };
+        let Some(machine) = self.fleet.machines.get(host) else {
+            return;
+        };
+        let cache = self.fleet.flavor(&machine.flavor).map_or(0.0, |f| f.cache_gb);
+        let hold = Hold {
+            host: host.clone(),
+            shift: machine.shift,
+            zone: machine.zone.clone(),
+            attempt,
+            version: 0,
+            run: RunSent::No,
+            phase: None,
+            since: now,
+            running_since: None,
+            stop: None,
+        };
+        if !self.book.hold(id, index, hold) {
+            return;
+        }
+        if let Some(machine) = self.fleet.machines.get_mut(host) {
+            let need = Room::from(&*spec);
+            machine.hold(TaskId::new(id, index), need, &spec.image, spec.image_gb, cache);
+        }
+        log::debug!("task {id}/{index}: assigned to {host}");
+    }
+
+    /// Called at every turn while the token is valid.
+    pub fn tick(&mut self, settings: &Settings, ops: &Operators, desk: &mut CloudDesk, now: Mono) {
+        if self.stage != Stage::Ruling {
+            return;
+        }
+        if now >= self.next_tick {
+            self.next_tick = now.plus(ops.tick());
+            self.watch_machines(settings, ops, desk, now);
+            self.drain(now);
+            self.scale(settings, ops, desk, now);
+            self.fleet.forget_old(now);
+        } else if self.place_dirty && now.since(self.last_place) >= PLACE_EVERY_MS {
+            self.place(settings, desk, now);
+        }
+    }
+}
--- /dev/null
+++ b/src/scaling.rs
@@ -0,0 +1,81 @@
+//! Rates, the target N*, and the additive increase and multiplicative decrease of rented cores.
+
+use crate::constants::ALPHA_CORES;
+
+/// What one job asks of the loop.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Demand {
+    /// Remaining work r in core-seconds.
+    pub work: f64,
+    /// Time left d in seconds.
+    pub left_s: f64,
+    /// Most cores that the job can use at once.
+    pub most: f64,
+}
+
+impl Demand {
+    /// s = r / d with d at least one tick, at most what the job can use.
+    pub fn rate(&self, tick_s: f64) -> f64 {
+        (self.work / self.left_s.max(tick_s)).min(self.most).max(0.0)
+    }
+}
+
+/// The factor that all rates are scaled by, given target N* and rented cores N.
+pub fn rate_factor(target: f64, rented: f64, beta: f64) -> f64 {
+    if target <= 0.0 {
+        1.0
+    } else if target > rented + ALPHA_CORES {
+        (rented + ALPHA_CORES) / target
+    } else if target < beta * rented {
+        beta * rented / target
+    } else {
+        1.0
+    }
+}
+
+/// Bounds of rented cores.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    pub min: f64,
+    pub max: f64,
+}
+
+/// One step of the loop: N for the next tick.
+pub fn step(rented: f64, target: f64, bounds: Bounds, beta: f64) -> f64 {
+    let next =
+        if rented <= target { (rented + ALPHA_CORES).min(bounds.max) } else { beta * rented };
+    next.max(bounds.min.min(bounds.max))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn rate_is_work_over_time_left() {
+        let demand = Demand { work: 1200.0, left_s: 60.0, most: 100.0 };
+        assert_eq!(demand.rate(1.0), 20.0);
+        let late = Demand { left_s: -5.0, ..demand };
+        assert_eq!(late.rate(10.0), 100.0);
+    }
+
+    /// By hand: N* = 100, N = 45, α = 5 gives 50/100; N* = 45, N = 100, β = 0.9 gives 90/45.
+    #[test]
+    fn rates_scale_as_in_the_document() {
+        assert_eq!(rate_factor(100.0, 45.0, 0.9), 0.5);
+        assert_eq!(rate_factor(45.0, 100.0, 0.9), 2.0);
+        assert_eq!(rate_factor(95.0, 100.0, 0.9), 1.0);
+        assert_eq!(rate_factor(104.0, 100.0, 0.9), 1.0);
+        assert_eq!(rate_factor(0.0, 100.0, 0.9), 1.0);
+    }
+
+    #[test]
+    fn steps_add_alpha_or_cut_by_beta_within_bounds() {
+        let bounds = Bounds { min: 20.0, max: 52.0 };
+        assert_eq!(step(40.0, 40.0, bounds, 0.9), 45.0);
+        assert_eq!(step(50.0, 90.0, bounds, 0.9), 52.0);
+        assert_eq!(step(50.0, 10.0, bounds, 0.9), 45.0);
+        assert_eq!(step(21.0, 10.0, bounds, 0.9), 20.0);
+        assert_eq!(step(0.0, 10.0, bounds, 0.9), 20.0);
+    }
+}
--- /dev/null
+++ b/src/store.rs
@@ -0,0 +1,262 @@
+//! The state service as the slices see it: operations, answers, and the pacer that keeps this
+//! controller within its share of the service's budgets.
+
+use crate::constants::*;
+use crate::settings::StateFacts;
+use crate::types::{LeaseId, Millis, Mono, Revision};
+use crate::wire::{Changes, Page, Row, Txn};
+use std::collections::{HashMap, VecDeque};
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum StoreOp {
+    Get { key: String },
+    List { prefix: String, after: String },
+    Txn(Txn),
+    Grant { ttl_ms: u64 },
+    Touch { lease: LeaseId },
+    Revoke { lease: LeaseId },
+    Follow { prefix: String, after: Revision },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum StoreReply {
+    Found(Row),
+    Missing(Revision),
+    Page(Page),
+    Committed(Revision),
+    Conflict(Vec<String>),
+    Granted(LeaseId),
+    Touched,
+    Changes(Changes),
+    TooOld,
+    NoSuchLease,
+    /// 429: over a budget; not executed.
+    Throttled,
+    /// 503: not executed.
+    Refused,
+    /// 400 or something that cannot be read.
+    Malformed(String),
+    /// No answer: executed, or not, or later.
+    Lost,
+    /// Never sent: it waited for the pacer too long.
+    Unsent,
+}
+
+/// Which queue an operation belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Lane {
+    /// Leases and the leader key: never paced, few by nature.
+    Vital,
+    /// Long polls: never paced, few by nature.
+    Watch,
+    /// The leader's one writer.
+    Write,
+    /// Submissions and reads for users, and loading.
+    Open,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct OpId(pub u64);
+
+/// A budget that refills steadily and holds at most half a second's worth.
+#[derive(Debug)]
+struct Bucket {
+    level: f64,
+    rate: f64,
+    at: Mono,
+}
+
+impl Bucket {
+    fn new(rate: f64) -> Self {
+        Self { level: (rate / 2.0).max(1.0), rate, at: Mono(0) }
+    }
+
+    fn refill(&mut self, now: Mono) {
+        self.level += now.since(self.at).secs() * self.rate;
+        self.level = self.level.min((self.rate / 2.0).max(1.0));
+        self.at = now;
+    }
+}
+
+#[derive(Debug)]
+struct Waiting {
+    id: OpId,
+    lane: Lane,
+    op: StoreOp,
+    until: Mono,
+}
+
+/// Paced client: queues operations and says which may be sent now.
+#[derive(Debug)]
+pub struct StoreClient<P> {
+    requests: Bucket,
+    writes: Bucket,
+    rates: (f64, f64),
+    queue: VecDeque<Waiting>,
+    purposes: HashMap<OpId, (Lane, P)>,
+    open_inflight: usize,
+    paused_until: Mono,
+    next: u64,
+    last_good: Mono,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QueueFull;
+
+impl<P> StoreClient<P> {
+    pub fn new(facts: &StateFacts) -> Self {
+        let rates = (facts.rps, facts.write_rps);
+        Self {
+            requests: Bucket::new(rates.0 * FOLLOWER_SHARE),
+            writes: Bucket::new(rates.1 * FOLLOWER_SHARE),
+            rates,
+            queue: VecDeque::new(),
+            purposes: HashMap::new(),
+            open_inflight: 0,
+            paused_until: Mono(0),
+            next: 0,
+            last_good: Mono(0),
+        }
+    }
+
+    /// Changes this controller's share of the budgets with its role.
+    pub fn lead(&mut self, leading: bool) {
+        let share = if leading { LEADER_SHARE } else { FOLLOWER_SHARE };
+        self.requests.rate = self.rates.0 * share;
+        self.writes.rate = self.rates.1 * share;
+    }
+
+    /// When the service last answered properly.
+    pub fn last_good(&self) -> Mono {
+        self.last_good
+    }
+
+    /// Queues an operation; `out` gets it at once if it needs no pacing.
+    pub fn submit(
+        &mut self,
+        now: Mono,
+        lane: Lane,
+        op: StoreOp,
+        purpose: P,
+        out: &mut Vec<(OpId, Lane, StoreOp)>,
+    ) -> Result<OpId, (QueueFull, P)> {
+        if lane == Lane::Open && self.queue.len() >= STORE_QUEUE {
+            return Err((QueueFull, purpose));
+        }
+        let id = OpId(self.next);
+        self.next += 1;
+        self.purposes.insert(id, (lane, purpose));
+        if matches!(lane, Lane::Vital | Lane::Watch) {
+            out.push((id, lane, op));
+        } else {
+            self.queue.push_back(Waiting { id, lane, op, until: now.plus(STORE_PATIENCE_MS) });
+            self.pump(now, out);
+        }
+        Ok(id)
+    }
+
+    /// Sends what the budgets allow. The writer's transaction goes before users' requests.
+    pub fn pump(&mut self, now: Mono, out: &mut Vec<(OpId, Lane, StoreOp)>) {
+        self.requests.refill(now);
+        self.writes.refill(now);
+        if now < self.paused_until {
+            return;
+        }
+        while let Some(at) = self.pick() {
+            let cost = match &self.queue[at].op {
+                StoreOp::Txn(txn) => txn.changes.len() as f64,
+                _ => 0.0,
+            };
+            // A transaction larger than what the bucket can ever hold goes once the bucket is full.
+            let need = cost.min((self.writes.rate / 2.0).max(1.0));
+            if self.requests.level < 1.0 || self.writes.level < need {
+                return;
+            }
+            self.requests.level -= 1.0;
+            self.writes.level -= cost;
+            if let Some(item) = self.queue.remove(at) {
+                if item.lane == Lane::Open {
+                    self.open_inflight += 1;
+                }
+                out.push((item.id, item.lane, item.op));
+            }
+        }
+    }
+
+    fn pick(&self) -> Option<usize> {
+        if let Some(at) = self.queue.iter().position(|w| w.lane == Lane::Write) {
+            return Some(at);
+        }
+        (self.open_inflight < STORE_INFLIGHT && !self.queue.is_empty()).then_some(0)
+    }
+
+    /// Operations that waited too long; they were never sent.
+    pub fn expired(&mut self, now: Mono) -> Vec<OpId> {
+        let (keep, late): (VecDeque<_>, VecDeque<_>) =
+            self.queue.drain(..).partition(|w| now < w.until || w.lane == Lane::Write);
+        self.queue = keep;
+        late.into_iter().map(|w| w.id).collect()
+    }
+
+    /// Takes up an answer: what it was for.
+    pub fn answered(&mut self, now: Mono, id: OpId, reply: &StoreReply, jitter: f64) -> Option<P> {
+        let (lane, purpose) = self.purposes.remove(&id)?;
+        if lane == Lane::Open && *reply != StoreReply::Unsent {
+            self.open_inflight = self.open_inflight.saturating_sub(1);
+        }
+        match reply {
+            StoreReply::Throttled | StoreReply::Refused => {
+                let pause = Millis((STORE_PAUSE_MS.0 as f64 * (1.0 + jitter)) as u64);
+                self.paused_until = self.paused_until.max(now.plus(pause));
+            }
+            StoreReply::Lost | StoreReply::Unsent => {}
+            _ => self.last_good = now,
+        }
+        Some(purpose)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn client() -> StoreClient<u32> {
+        StoreClient::new(&StateFacts { rps: 80.0, write_rps: 25.0, value_kb: 8.0, txn_ops: 16 })
+    }
+
+    /// Over any second the pacer lets through no more than its share and the bucket's content.
+    #[test]
+    fn keeps_its_share_of_the_budget() {
+        let mut store = client();
+        let mut sent = Vec::new();
+        for ms in (0..10_000).step_by(10) {
+            let now = Mono(ms);
+            let get = StoreOp::Get { key: "live/a".into() };
+            let _ = store.submit(now, Lane::Open, get, 1, &mut sent);
+            for late in store.expired(now) {
+                assert!(store.answered(now, late, &StoreReply::Unsent, 0.0).is_some());
+            }
+            for (id, _, _) in sent.split_off(0) {
+                assert!(store.answered(now, id, &StoreReply::Lost, 0.0).is_some());
+                sent.clear();
+            }
+        }
+        assert!(store.next >= 1000);
+        assert!(store.queue.len() < STORE_QUEUE);
+    }
+
+    #[test]
+    fn the_queue_is_bounded_and_leases_pass_it_by() {
+        let mut store = client();
+        let mut sent = Vec::new();
+        let get = || StoreOp::Get { key: "live/a".into() };
+        let refused = (0..2 * STORE_QUEUE)
+            .filter(|_| store.submit(Mono(0), Lane::Open, get(), 1, &mut sent).is_err())
+            .count();
+        assert!(refused >= STORE_QUEUE - STORE_INFLIGHT);
+        sent.clear();
+        let touch = StoreOp::Touch { lease: LeaseId(1) };
+        assert!(store.submit(Mono(0), Lane::Vital, touch, 2, &mut sent).is_ok());
+        assert_eq!(sent.len(), 1);
+    }
+}
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,385 @@
+//! Wire names live here and nowhere else: what users, workers, the cloud and the state service
+//! send and expect.
+
+use crate::types::{Attempt, HostId, JobId, LeaseId, Member, Revision, Shift, Tally, Token, Zone};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub enum Shape {
+    #[serde(rename = "sweep")]
+    Array,
+    #[serde(rename = "group")]
+    Gang,
+    #[serde(rename = "standing")]
+    Service,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Rank {
+    Low,
+    Standard,
+    High,
+    Critical,
+}
+
+/// A job as its user describes it.
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct JobSpec {
+    #[serde(rename = "nameId")]
+    pub id: JobId,
+    #[serde(rename = "jobclass")]
+    pub class: String,
+    #[serde(rename = "owner")]
+    pub team: String,
+    pub shape: Shape,
+    pub rank: Rank,
+    #[serde(rename = "shards")]
+    pub tasks: u32,
+    pub cpus: f64,
+    pub gpus: f64,
+    #[serde(rename = "memoryGb")]
+    pub memory_gb: f64,
+    #[serde(rename = "bundle")]
+    pub image: String,
+    #[serde(rename = "pullGb")]
+    pub image_gb: f64,
+    #[serde(default)]
+    pub flavors: Option<Vec<String>>,
+    #[serde(rename = "yard", default)]
+    pub zone: Option<Zone>,
+    #[serde(rename = "samePlace")]
+    pub one_zone: bool,
+    pub spread: bool,
+    #[serde(rename = "loaners")]
+    pub spot: bool,
+    #[serde(rename = "expectS")]
+    pub estimate_s: f64,
+    #[serde(rename = "snapshotS")]
+    pub checkpoint_s: f64,
+    #[serde(rename = "flushS")]
+    pub save_s: f64,
+    #[serde(rename = "dueS", default)]
+    pub deadline_s: Option<f64>,
+}
+
+impl JobSpec {
+    /// Checks what the types alone do not say; the text names the field.
+    pub fn check(&self) -> Result<(), String> {
+        if JobId::parse(self.id.as_str()).is_none() {
+            return Err("nameId is not of the form req-000000".into());
+        }
+        if self.tasks == 0 || self.tasks > crate::constants::MAX_TASKS {
+            return Err("shards must be from 1 to 100000".into());
+        }
+        let amounts = [
+            ("cpus", self.cpus),
+            ("gpus", self.gpus),
+            ("memoryGb", self.memory_gb),
+            ("pullGb", self.image_gb),
+            ("expectS", self.estimate_s),
+            ("snapshotS", self.checkpoint_s),
+            ("flushS", self.save_s),
+            ("dueS", self.deadline_s.unwrap_or(0.0)),
+        ];
+        for (name, amount) in amounts {
+            if !amount.is_finite() || amount < 0.0 {
+                return Err(format!("{name} must be a finite amount, 0 or more"));
+            }
+        }
+        Ok(())
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum JobStatus {
+    Queued,
+    Running,
+    Done,
+    Cancelled,
+}
+
+/// Answer about a job.
+#[derive(Clone, PartialEq, Debug, Serialize)]
+pub struct JobView {
+    #[serde(rename = "nameId")]
+    pub id: JobId,
+    pub status: JobStatus,
+    pub done: u32,
+    pub running: u32,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub enum TaskPhase {
+    #[serde(rename = "pulling")]
+    Fetching,
+    #[serde(rename = "gathering")]
+    Waiting,
+    #[serde(rename = "running")]
+    Running,
+    #[serde(rename = "saving")]
+    Saving,
+    #[serde(rename = "ended")]
+    Exited,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub enum Cause {
+    #[serde(rename = "done")]
+    Done,
+    #[serde(rename = "halted")]
+    Stopped,
+    #[serde(rename = "peers")]
+    Peers,
+    #[serde(rename = "incomplete")]
+    Incomplete,
+    #[serde(rename = "error")]
+    Error,
+    #[serde(rename = "no_room")]
+    NoRoom,
+    #[serde(rename = "busy")]
+    Busy,
+    #[serde(rename = "no_such")]
+    Unknown,
+}
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct TaskReport {
+    #[serde(rename = "shard")]
+    pub task: String,
+    #[serde(rename = "try")]
+    pub attempt: Attempt,
+    pub status: TaskPhase,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cause: Option<Cause>,
+    #[serde(default)]
+    pub stored: bool,
+}
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct Report {
+    pub host: HostId,
+    pub addr: String,
+    pub flavor: String,
+    #[serde(rename = "yard")]
+    pub zone: Zone,
+    #[serde(rename = "loaners")]
+    pub spot: bool,
+    pub shift: Shift,
+    pub tally: Tally,
+    #[serde(rename = "baton")]
+    pub token: Token,
+    #[serde(rename = "warningS", default)]
+    pub notice_s: Option<f64>,
+    #[serde(rename = "shards")]
+    pub tasks: Vec<TaskReport>,
+}
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+#[serde(tag = "verb", rename_all = "lowercase")]
+pub enum Order {
+    Run {
+        #[serde(rename = "shard")]
+        task: String,
+        #[serde(rename = "try")]
+        attempt: Attempt,
+    },
+    Stop {
+        #[serde(rename = "shard")]
+        task: String,
+        #[serde(rename = "try")]
+        attempt: Attempt,
+        #[serde(rename = "windDownS")]
+        grace_s: f64,
+    },
+    Forget {
+        #[serde(rename = "shard")]
+        task: String,
+        #[serde(rename = "try")]
+        attempt: Attempt,
+    },
+}
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct ReportAnswer {
+    #[serde(rename = "baton")]
+    pub token: Token,
+    pub orders: Vec<Order>,
+}
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct Redirect {
+    #[serde(rename = "foreman", skip_serializing_if = "Option::is_none")]
+    pub leader: Option<Member>,
+}
+
+// --- Cloud ------------------------------------------------------------------
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct Flavor {
+    pub label: String,
+    pub cpus: f64,
+    pub gpus: f64,
+    #[serde(rename = "memoryGb")]
+    pub memory_gb: f64,
+    #[serde(rename = "localGb", default)]
+    pub cache_gb: f64,
+    #[serde(rename = "fetchGbPerS", default)]
+    pub fetch_gb_per_s: f64,
+    #[serde(rename = "rate")]
+    pub price: f64,
+    #[serde(rename = "spotPrice")]
+    pub spot_price: f64,
+    #[serde(rename = "readyS")]
+    pub boot_s: f64,
+    #[serde(rename = "yards")]
+    pub zones: Vec<Zone>,
+}
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct Catalog {
+    pub flavors: Vec<Flavor>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub enum MachineStatus {
+    #[serde(rename = "starting")]
+    Booting,
+    #[serde(rename = "running")]
+    Running,
+    #[serde(rename = "failed")]
+    Failed,
+}
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct Listed {
+    #[serde(rename = "nameId")]
+    pub host: HostId,
+    #[serde(default)]
+    pub addr: String,
+    pub flavor: String,
+    #[serde(rename = "yard")]
+    pub zone: Zone,
+    #[serde(rename = "loaners")]
+    pub spot: bool,
+    pub status: MachineStatus,
+    #[serde(rename = "ageS")]
+    pub age_s: f64,
+}
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct MachineList {
+    pub hosts: Vec<Listed>,
+    pub more: bool,
+}
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct Hire {
+    #[serde(rename = "hire")]
+    pub request: String,
+    pub flavor: String,
+    #[serde(rename = "yard")]
+    pub zone: Zone,
+    #[serde(rename = "loaners")]
+    pub spot: bool,
+    pub number: u32,
+}
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct Hosts {
+    pub hosts: Vec<HostId>,
+}
+
+// --- State service ----------------------------------------------------------
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct Row {
+    #[serde(rename = "path")]
+    pub key: String,
+    #[serde(rename = "data")]
+    pub value: Value,
+    #[serde(rename = "stamp")]
+    pub version: Revision,
+}
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct Page {
+    pub rows: Vec<Row>,
+    pub more: bool,
+    #[serde(rename = "epoch")]
+    pub revision: Revision,
+}
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct Condition {
+    #[serde(rename = "path")]
+    pub key: String,
+    #[serde(rename = "stamp")]
+    pub version: Revision,
+}
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Change {
+    Put {
+        #[serde(rename = "put")]
+        key: String,
+        #[serde(rename = "data")]
+        value: Value,
+        #[serde(rename = "tenancy", default, skip_serializing_if = "Option::is_none")]
+        lease: Option<LeaseId>,
+    },
+    Delete {
+        #[serde(rename = "delete")]
+        key: String,
+    },
+}
+
+impl Change {
+    pub fn put(key: String, value: Value) -> Self {
+        Self::Put { key, value, lease: None }
+    }
+}
+
+#[derive(Clone, PartialEq, Debug, Default, Serialize, Deserialize)]
+pub struct Txn {
+    #[serde(rename = "when")]
+    pub conditions: Vec<Condition>,
+    #[serde(rename = "then")]
+    pub changes: Vec<Change>,
+}
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct Epoch {
+    #[serde(rename = "epoch")]
+    pub revision: Revision,
+    #[serde(default)]
+    pub failed: Vec<String>,
+}
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct Grant {
+    #[serde(rename = "tenancy")]
+    pub lease: LeaseId,
+}
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct Logged {
+    #[serde(default)]
+    pub put: Option<String>,
+    #[serde(default)]
+    pub delete: Option<String>,
+    #[serde(rename = "data", default)]
+    pub value: Value,
+    #[serde(rename = "stamp")]
+    pub version: Revision,
+}
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct Changes {
+    #[serde(rename = "epoch")]
+    pub revision: Revision,
+    pub log: Vec<Logged>,
+}
--- /dev/null
+++ b/src/workers.rs
@@ -0,0 +1,325 @@
+//! Machines and what their workers report: order of messages, leases, what is proven gone.
+
+use crate::constants::*;
+use crate::types::*;
+use crate::wire::{Catalog, Flavor, Report, TaskPhase};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// Amounts of a machine or a task.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Room {
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory_gb: f64,
+}
+
+/// Slack for sums of decimal amounts.
+const EPSILON: f64 = 1e-6;
+
+impl Room {
+    pub fn fits(&self, need: &Room) -> bool {
+        need.cpus <= self.cpus + EPSILON
+            && need.gpus <= self.gpus + EPSILON
+            && need.memory_gb <= self.memory_gb + EPSILON
+    }
+
+    pub fn add(&mut self, other: &Room) {
+        self.cpus += other.cpus;
+        self.gpus += other.gpus;
+        self.memory_gb += other.memory_gb;
+    }
+
+    pub fn take(&mut self, other: &Room) {
+        self.cpus -= other.cpus;
+        self.gpus -= other.gpus;
+        self.memory_gb -= other.memory_gb;
+    }
+
+    /// The share of `whole` that this takes, by what binds first.
+    pub fn share_of(&self, whole: &Room) -> f64 {
+        let part = |a: f64, b: f64| if b > 0.0 { a / b } else { 0.0 };
+        part(self.cpus, whole.cpus)
+            .max(part(self.gpus, whole.gpus))
+            .max(part(self.memory_gb, whole.memory_gb))
+    }
+}
+
+impl From<&Flavor> for Room {
+    fn from(f: &Flavor) -> Self {
+        Self { cpus: f.cpus, gpus: f.gpus, memory_gb: f.memory_gb }
+    }
+}
+
+impl From<&crate::wire::JobSpec> for Room {
+    fn from(s: &crate::wire::JobSpec) -> Self {
+        Self { cpus: s.cpus, gpus: s.gpus, memory_gb: s.memory_gb }
+    }
+}
+
+/// Where a machine stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Life {
+    /// Hired or listed, has not reported to this leader.
+    Booting,
+    /// Reports.
+    Live,
+    /// Missed reports; what it runs still counts.
+    Silent,
+    /// No new tasks; returned once empty or out of time.
+    Draining,
+    /// Its return has been asked for; final.
+    Releasing,
+}
+
+/// A task as last reported.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Seen {
+    pub attempt: Attempt,
+    pub phase: TaskPhase,
+    pub need: Room,
+}
+
+#[derive(Debug)]
+pub struct Machine {
+    pub id: HostId,
+    pub flavor: String,
+    pub zone: Zone,
+    pub spot: bool,
+    pub addr: String,
+    pub life: Life,
+    pub born: Mono,
+    pub shift: Shift,
+    pub tally: Tally,
+    /// Tally of the last report answered with 200.
+    pub answered_tally: Tally,
+    pub last_report: Option<Mono>,
+    /// When a report was last answered with 200 by this leader.
+    pub last_answer: Option<Mono>,
+    pub held: BTreeMap<TaskId, Room>,
+    pub used: Room,
+    /// Reported tasks that the book does not hold there, and what they take.
+    pub strays: BTreeMap<(TaskId, Attempt), Room>,
+    pub taken_at: Option<Mono>,
+    pub idle_since: Mono,
+    pub faults: BTreeSet<JobId>,
+    pub paused_until: Mono,
+    /// Images by last use, newest last, with their sizes.
+    pub images: Vec<(String, f64)>,
+    pub reserved: Option<(JobId, Mono)>,
+    /// Its held tasks were given up when its lease had run out; only a newer shift counts again.
+    pub expired_shift: Option<Shift>,
+}
+
+impl Machine {
+    /// The one place where the life changes.
+    pub fn enter(&mut self, life: Life, why: &str) {
+        if self.life != life && self.life != Life::Releasing {
+            log::info!("machine {}: {:?} -> {:?} ({why})", self.id, self.life, life);
+            self.life = life;
+        }
+    }
+
+    pub fn hold(&mut self, task: TaskId, need: Room, image: &str, image_gb: f64, cache_gb: f64) {
+        self.used.add(&need);
+        self.held.insert(task, need);
+        self.images.retain(|(name, _)| name != image);
+        self.images.push((image.to_owned(), image_gb));
+        let mut total: f64 = self.images.iter().map(|(_, gb)| gb).sum();
+        while total > cache_gb && self.images.len() > 1 {
+            total -= self.images.remove(0).1;
+        }
+    }
+
+    pub fn free(&mut self, task: &TaskId, now: Mono) {
+        if let Some(need) = self.held.remove(task) {
+            self.used.take(&need);
+        }
+        if self.held.is_empty() {
+            self.used = Room::default();
+            self.idle_since = now;
+        }
+    }
+
+    pub fn has_image(&self, image: &str) -> bool {
+        self.images.iter().any(|(name, _)| name == image)
+    }
+
+    pub fn empty(&self) -> bool {
+        self.held.is_empty() && self.strays.is_empty()
+    }
+}
+
+/// What a report turned out to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// Older than one seen before; its content is void.
+    Stale,
+    /// New, but its worker has not yet accepted an answer of this leader.
+    Unconfirmed,
+    /// New, and later than anything an earlier leader can have said.
+    Confirmed,
+}
+
+#[derive(Debug, Default)]
+pub struct Fleet {
+    pub machines: BTreeMap<HostId, Machine>,
+    pub gone: HashMap<HostId, Mono>,
+    pub catalog: Option<Catalog>,
+}
+
+impl Fleet {
+    pub fn flavor(&self, label: &str) -> Option<&Flavor> {
+        self.catalog.as_ref()?.flavors.iter().find(|f| f.label == label)
+    }
+
+    pub fn room_of(&self, machine: &Machine) -> Room {
+        self.flavor(&machine.flavor).map(Room::from).unwrap_or_default()
+    }
+
+    /// What is free on a machine, strays counted.
+    pub fn free_room(&self, machine: &Machine) -> Room {
+        let mut free = self.room_of(machine);
+        free.take(&machine.used);
+        for need in machine.strays.values() {
+            free.take(need);
+        }
+        free
+    }
+
+    pub fn adopt(
+        &mut self,
+        id: &HostId,
+        flavor: &str,
+        zone: &Zone,
+        spot: bool,
+        born: Mono,
+        now: Mono,
+    ) -> &mut Machine {
+        self.machines.entry(id.clone()).or_insert_with(|| {
+            log::info!("machine {id}: known, {flavor} in {zone}, spot {spot}");
+            Machine {
+                id: id.clone(),
+                flavor: flavor.to_owned(),
+                zone: zone.clone(),
+                spot,
+                addr: String::new(),
+                life: Life::Booting,
+                born,
+                shift: Shift(0),
+                tally: Tally(0),
+                answered_tally: Tally(0),
+                last_report: None,
+                last_answer: None,
+                held: BTreeMap::new(),
+                used: Room::default(),
+                strays: BTreeMap::new(),
+                taken_at: None,
+                idle_since: now,
+                faults: BTreeSet::new(),
+                paused_until: Mono(0),
+                images: Vec::new(),
+                reserved: None,
+                expired_shift: None,
+            }
+        })
+    }
+
+    /// Sorts a report in and notes what it says of the machine itself. The tasks it lists are for
+    /// the caller to compare.
+    pub fn take_report(&mut self, report: &Report, token: Token, now: Mono) -> Freshness {
+        let fresh = self
+            .machines
+            .get(&report.host)
+            .is_none_or(|m| (report.shift, report.tally) > (m.shift, m.tally));
+        if !fresh {
+            return Freshness::Stale;
+        }
+        let m = self.adopt(&report.host, &report.flavor, &report.zone, report.spot, now, now);
+        m.flavor.clone_from(&report.flavor);
+        m.zone = report.zone.clone();
+        m.spot = report.spot;
+        m.addr.clone_from(&report.addr);
+        m.shift = report.shift;
+        m.tally = report.tally;
+        m.last_report = Some(now);
+        m.taken_at = report.notice_s.map(|s| now.plus(Millis::from_secs(s)));
+        if m.taken_at.is_some() {
+            m.enter(Life::Draining, "notice from the cloud");
+        } else if matches!(m.life, Life::Booting | Life::Silent) {
+            m.enter(Life::Live, "reported");
+        }
+        if report.token == token { Freshness::Confirmed } else { Freshness::Unconfirmed }
+    }
+
+    /// The moment by which a machine's tasks are surely gone if nothing more is heard of it: its
+    /// lease, with drift, from the latest moment at which a valid leader can have answered.
+    pub fn horizon(m: &Machine, lead_since: Mono, lease_s: f64) -> Mono {
+        let from = m.last_answer.unwrap_or(lead_since).max(lead_since);
+        from.plus(Millis::from_secs(lease_s * (1.0 + 2.0 * DRIFT) + 0.5))
+    }
+
+    pub fn remove(&mut self, id: &HostId, now: Mono) -> Option<Machine> {
+        self.gone.insert(id.clone(), now);
+        self.machines.remove(id)
+    }
+
+    pub fn forget_old(&mut self, now: Mono) {
+        self.gone.retain(|_, at| now.since(*at) < TOMBSTONE_MS);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn report(shift: u64, tally: u64, token: u64) -> Report {
+        Report {
+            host: HostId::new("i-1"),
+            addr: "10.0.0.9:1".into(),
+            flavor: "f".into(),
+            zone: Zone::new("a"),
+            spot: false,
+            shift: Shift(shift),
+            tally: Tally(tally),
+            token: Token(token),
+            notice_s: None,
+            tasks: Vec::new(),
+        }
+    }
+
+    #[test]
+    fn reports_are_ordered_by_shift_and_tally() {
+        let mut fleet = Fleet::default();
+        let mut take = |s, t, k| fleet.take_report(&report(s, t, k), Token(4), Mono(1));
+        assert_eq!(take(1, 5, 3), Freshness::Unconfirmed);
+        assert_eq!(take(1, 6, 4), Freshness::Confirmed);
+        assert_eq!(take(1, 6, 4), Freshness::Stale);
+        assert_eq!(take(1, 2, 4), Freshness::Stale);
+        assert_eq!(take(2, 1, 4), Freshness::Confirmed);
+        assert_eq!(take(1, 900, 4), Freshness::Stale);
+    }
+
+    /// The horizon covers drift, and an earlier leader's last answers.
+    #[test]
+    fn the_horizon_lies_beyond_any_lease() {
+        let mut fleet = Fleet::default();
+        fleet.take_report(&report(1, 1, 1), Token(1), Mono(5_000));
+        let m = fleet.machines.get_mut(&HostId::new("i-1")).unwrap();
+        assert!(Fleet::horizon(m, Mono(9_000), 26.0) >= Mono(35_013));
+        m.last_answer = Some(Mono(20_000));
+        assert!(Fleet::horizon(m, Mono(9_000), 26.0) >= Mono(46_013));
+    }
+
+    #[test]
+    fn caches_keep_the_newest_images() {
+        let mut fleet = Fleet::default();
+        fleet.take_report(&report(1, 1, 1), Token(1), Mono(0));
+        let m = fleet.machines.get_mut(&HostId::new("i-1")).unwrap();
+        let task = |i| TaskId::new(&JobId::new("req-1"), i);
+        m.hold(task(0), Room::default(), "x", 30.0, 60.0);
+        m.hold(task(1), Room::default(), "y", 20.0, 60.0);
+        m.hold(task(2), Room::default(), "x", 30.0, 60.0);
+        m.hold(task(3), Room::default(), "z", 25.0, 60.0);
+        assert!(m.has_image("x") && m.has_image("z") && !m.has_image("y"));
+    }
+}
