Order jobs by when they must start to meet their next aim

Cause: jobs were ordered by when they should be complete, so a gang that users want started within seconds waited behind arrays with nearer ends.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -110,6 +110,9 @@
 
 /// Least time between two placement passes: batches what changes together.
 pub const PLACE_EVERY_MS: Millis = Millis(150);
+/// A job that can meet none of its aims any more is placed as if it had to start this long after
+/// its submission, in seconds: after those that still can, yet ahead of ever newer ones.
+pub const LATE_AFTER_S: f64 = 300.0;
 /// Starts decided in one pass, to bound its processor time.
 pub const PLACE_BATCH: usize = 200;
 /// A machine that is being cleared for a job is kept for it this long.
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -104,6 +104,33 @@
     job.submitted.plus(Millis::from_secs(within))
 }
 
+/// By when the job has to be placed to meet the next of its aims that can still be met. A job that
+/// can meet none any more comes after those that can.
+fn start_by(settings: &Settings, job: &Job, overhead_s: f64, now: Mono) -> Mono {
+    let spec = &job.spec;
+    let waits = settings
+        .facts
+        .objectives
+        .iter()
+        .filter(|o| o.kind == "wait" && o.class.as_deref() == Some(&spec.class))
+        .filter_map(|o| o.within_s);
+    let run_s = match spec.shape {
+        Shape::Service => 0.0,
+        _ => spec.estimate_s,
+    };
+    let finish = due(settings, job).0 as f64 / 1000.0 - run_s - overhead_s;
+    let next = waits
+        .map(|within| job.submitted.0 as f64 / 1000.0 + within - overhead_s)
+        .chain([finish])
+        .filter(|by| *by >= now.0 as f64 / 1000.0)
+        .fold(f64::INFINITY, f64::min);
+    if next.is_finite() {
+        Mono((next * 1000.0) as u64)
+    } else {
+        job.submitted.plus(Millis::from_secs(LATE_AFTER_S))
+    }
+}
+
 struct Pass<'a> {
     now: Mono,
     settings: &'a Settings,
@@ -118,11 +145,12 @@
 pub fn plan(inputs: Inputs) -> Plan {
     let Inputs { now, settings, book, fleet, paced, awaited, refused } = inputs;
     let guaranteed = guaranteed(settings, book);
+    let overhead_s = settings.facts.workers.report_s;
     let mut order: Vec<(JobId, Mono)> = book
         .jobs
         .iter()
         .filter(|(_, j)| j.state == JobState::Open && j.pending() > 0 && now >= j.paused_until)
-        .map(|(id, j)| (id.clone(), due(settings, j)))
+        .map(|(id, j)| (id.clone(), start_by(settings, j, overhead_s, now)))
         .collect();
     order.sort_by(|(a, due_a), (b, due_b)| {
         let (ja, jb) = (&book.jobs[a], &book.jobs[b]);
