Empty the least used machine while more is rented than planned

The loop's cut now also picks a machine to close: replicas move one at a time to machines that have their image, other tasks end by themselves. What a cut smaller than a machine has taken is carried on.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -113,6 +113,11 @@
 /// A job that can meet none of its aims any more is placed as if it had to start this long after
 /// its submission, in seconds: after those that still can, yet ahead of ever newer ones.
 pub const LATE_AFTER_S: f64 = 300.0;
+/// Least time between two moves of replicas: a move costs a replica a few seconds, and users count
+/// the worst half minute.
+pub const MOVE_EVERY_MS: Millis = Millis(30_000);
+/// Machines being emptied at once so that they can be returned.
+pub const CLOSING_MOST: usize = 2;
 /// Starts decided in one pass, to bound its processor time.
 pub const PLACE_BATCH: usize = 200;
 /// A machine that is being cleared for a job is kept for it this long.
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -107,6 +107,8 @@
     JobOver,
     Preempted,
     Draining,
+    /// A replica that goes to another machine so that this one can be returned.
+    Moved,
     GangFailed,
 }
 
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -295,6 +295,48 @@
     }
 }
 
+/// Whether the services on a machine would find room on other live machines that have their
+/// images; its other tasks end by themselves.
+pub fn room_elsewhere(
+    now: Mono,
+    settings: &Settings,
+    book: &Book,
+    fleet: &Fleet,
+    host: &HostId,
+) -> bool {
+    let Some(machine) = fleet.machines.get(host) else { return false };
+    let mut slots = slots(fleet, &[], now);
+    slots.retain(|s| s.host.as_ref() != Some(host));
+    let mut pass = Pass {
+        now,
+        settings,
+        fleet,
+        refused: &|_| true,
+        slots,
+        usage: book.usage.clone(),
+        plan: Plan::default(),
+    };
+    machine.held.keys().all(|task| {
+        let Some(job) = book.get(&task.job) else { return true };
+        if job.spec.shape != Shape::Service {
+            return true;
+        }
+        let need = Need { job, room: Room::from(&*job.spec) };
+        let mut zones = job.zones.clone();
+        if let Some(count) = zones.get_mut(&machine.zone) {
+            *count = count.saturating_sub(1);
+        }
+        let Some(at) = pass.best(&need, true, &zones, None) else { return false };
+        let cached = pass.slots[at]
+            .host
+            .as_ref()
+            .and_then(|h| fleet.machines.get(h))
+            .is_some_and(|m| m.has_image(&job.spec.image));
+        pass.take(at, &need, &mut zones);
+        cached
+    })
+}
+
 impl Pass<'_> {
     /// How many more tasks the team's limit allows.
     fn within_limit(&self, job: &Job) -> u32 {
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -12,7 +12,7 @@
 use crate::wire::{
     Cause, JobStatus, Listed, MachineStatus, Order, Report, ReportAnswer, Shape, TaskPhase,
 };
-use crate::workers::{Fleet, Freshness, Life, Room};
+use crate::workers::{Fleet, Freshness, Life, Machine, Room};
 use std::collections::{BTreeMap, HashMap};
 
 /// Where a new leader stands.
@@ -57,6 +57,7 @@
     planned: f64,
     paced: HashMap<JobId, u32>,
     shown: HashMap<String, ClassBias>,
+    last_move: Mono,
     place_dirty: bool,
     last_place: Mono,
     next_tick: Mono,
@@ -77,6 +78,7 @@
             planned: 0.0,
             paced: HashMap::new(),
             shown: HashMap::new(),
+            last_move: Mono(0),
             place_dirty: true,
             last_place: Mono(0),
             next_tick: now,
@@ -520,7 +522,7 @@
         let Some(machine) = self.fleet.machines.get(&report.host) else {
             return;
         };
-        if fresh != Freshness::Confirmed || machine.life != Life::Live {
+        if fresh != Freshness::Confirmed || !matches!(machine.life, Life::Live | Life::Closing) {
             return;
         }
         let strays: Vec<TaskId> = machine.strays.keys().map(|(t, _)| t.clone()).collect();
@@ -608,7 +610,7 @@
         let facts = &settings.facts.workers;
         let silent_after = Millis::from_secs(facts.report_s * ops.silent_reports);
         let found_by = self.heard_from.plus(Millis::from_secs(REDIRECT_S));
-        let silence = |m: &crate::workers::Machine| {
+        let silence = |m: &Machine| {
             let from = m.last_report.unwrap_or(m.born).max(found_by.min(now));
             now.since(from)
         };
@@ -644,7 +646,7 @@
                 continue;
             }
             let silent = silence(m) > silent_after && now > found_by.plus(silent_after);
-            if silent && m.life == Life::Live {
+            if silent && matches!(m.life, Life::Live | Life::Closing) {
                 m.enter(Life::Silent, "no reports");
             }
             let (all, quiet) = zones.get(&m.zone).copied().unwrap_or_default();
@@ -808,10 +810,12 @@
             .collect();
         let bounds =
             Bounds { min: floor, max: if ops.max_cores > 0.0 { ops.max_cores } else { f64::MAX } };
-        // Machines are larger than α: what the loop has added but no machine yet stands for is
-        // carried from tick to tick.
-        let carried = if rented <= target { self.planned.max(rented) } else { rented };
-        self.planned = scaling::step(carried, target, bounds, ops.beta);
+        // Machines are larger than a step: what the loop has added or cut, but no machine yet
+        // stands for, is carried from tick to tick, though not beyond the target.
+        let carried =
+            if rented <= target { self.planned.max(rented) } else { self.planned.min(rented) };
+        let next = scaling::step(carried, target, bounds, ops.beta);
+        self.planned = if rented <= target { next } else { next.max(target.min(rented)) };
         log::debug!(
             "scaling: N* {target:.0}, floor {floor:.0}, rented {rented:.0}, planned {:.0}",
             self.planned
@@ -819,6 +823,7 @@
         let plan = self.place(settings, desk, now);
         self.hire(plan, rented, bounds.max, desk);
         self.return_idle(ops, desk, now);
+        self.consolidate(settings, desk, now);
     }
 
     /// Hires what the pass wished for: services, gangs and guarantees under the floor, arrays as
@@ -870,6 +875,68 @@
         }
     }
 
+    /// While more is rented than planned and no machine stands idle, empties the one with least on
+    /// it: replicas move one at a time, other tasks end by themselves.
+    fn consolidate(&mut self, settings: &Settings, desk: &mut CloudDesk, now: Mono) {
+        let cpus = |m: &Machine| self.fleet.flavor(&m.flavor).map_or(0.0, |f| f.cpus);
+        let closing: Vec<HostId> = self
+            .fleet
+            .machines
+            .values()
+            .filter(|m| m.life == Life::Closing)
+            .map(|m| m.id.clone())
+            .collect();
+        let closing_cpus: f64 =
+            closing.iter().filter_map(|h| self.fleet.machines.get(h)).map(cpus).sum();
+        let kept = self.rented() - closing_cpus;
+        if kept < self.planned {
+            if let Some(m) = closing.first().and_then(|h| self.fleet.machines.get_mut(h)) {
+                m.enter(Life::Live, "needed again");
+                self.place_dirty = true;
+            }
+            return;
+        }
+        let roomy =
+            |host: &HostId| placement::room_elsewhere(now, settings, &self.book, &self.fleet, host);
+        let least = self
+            .fleet
+            .machines
+            .values()
+            .filter(|m| m.life == Life::Live && !m.empty() && m.strays.is_empty())
+            .filter(|m| m.reserved.as_ref().is_none_or(|(_, until)| now >= *until))
+            .filter(|m| kept - cpus(m) >= self.planned)
+            .filter(|m| closing.len() < CLOSING_MOST && roomy(&m.id))
+            .map(|m| (m.used.share_of(&self.fleet.room_of(m)), m.id.clone()))
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, host)| host);
+        let mover = closing
+            .iter()
+            .filter(|_| now.since(self.last_move) >= MOVE_EVERY_MS)
+            .filter(|host| roomy(host))
+            .flat_map(|host| self.fleet.machines[host].held.keys())
+            .find(|task| {
+                self.book.get(&task.job).is_some_and(|j| {
+                    j.spec.shape == Shape::Service
+                        && j.hold(task.index)
+                            .is_some_and(|h| h.running_since.is_some() && h.stop.is_none())
+                })
+            })
+            .cloned();
+        if let Some(m) = least.and_then(|host| self.fleet.machines.get_mut(&host)) {
+            m.enter(Life::Closing, "more is rented than planned");
+        }
+        if let Some(task) = mover {
+            self.last_move = now;
+            self.stop(&task, StopWhy::Moved, 0.0, now);
+        }
+        for host in closing {
+            if let Some(m) = self.fleet.machines.get_mut(&host).filter(|m| m.empty()) {
+                m.enter(Life::Releasing, "emptied");
+                desk.release(&host);
+            }
+        }
+    }
+
     /// One placement pass; starts and stops are taken up, hires are left to the caller.
     fn place(&mut self, settings: &Settings, desk: &CloudDesk, now: Mono) -> Plan {
         self.place_dirty = false;
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -65,6 +65,8 @@
     Live,
     /// Missed reports; what it runs still counts.
     Silent,
+    /// Not needed by the loop: takes no new tasks, is returned once empty, may become live again.
+    Closing,
     /// No new tasks; returned once empty or out of time.
     Draining,
     /// Its return has been asked for; final.
