Keep room ready for classes that must start sooner than a machine boots

Cause: a class that users want started within seconds waits for a boot whenever live machines are full. Arrivals of the last minutes now reserve room on live or new machines, as part of Nmin.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -113,6 +113,14 @@
 /// A job that can meet none of its aims any more is placed as if it had to start this long after
 /// its submission, in seconds: after those that still can, yet ahead of ever newer ones.
 pub const LATE_AFTER_S: f64 = 300.0;
+/// How far back arrivals are counted when room is kept ready for a class, in seconds.
+pub const ARRIVAL_WINDOW_S: f64 = 180.0;
+/// Room kept ready for a class that users want started sooner than a machine boots: this many times
+/// the arrivals expected while one boots, plus this many of their standard deviations.
+pub const READY_MEAN: f64 = 1.0;
+pub const READY_DEVIATIONS: f64 = 0.5;
+/// Boot times vary up to this many times the usual one.
+pub const BOOT_SPREAD: f64 = 1.5;
 /// Least time between two moves of replicas: a move costs a replica a few seconds, and users count
 /// the worst half minute.
 pub const MOVE_EVERY_MS: Millis = Millis(30_000);
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -218,6 +218,11 @@
         }
     }
 
+    /// A stand-in for a job that may come, one task of it.
+    pub fn expected(spec: &JobSpec, now: Mono) -> Self {
+        Self::new(JobSpec { tasks: 1, ..spec.clone() }, now, Revision(0))
+    }
+
     /// The one place where the state changes.
     fn enter(&mut self, state: JobState, why: &str) {
         log::info!("job {}: {:?} -> {:?} ({why})", self.spec.id, self.state, state);
@@ -430,6 +435,8 @@
 pub struct Book {
     pub jobs: BTreeMap<JobId, Job>,
     pub usage: HashMap<String, Usage>,
+    /// Jobs that came lately, oldest first.
+    pub arrivals: VecDeque<(Mono, Arc<JobSpec>)>,
     urgent: VecDeque<Item>,
     dirty: VecDeque<Item>,
     queued: HashSet<Item>,
@@ -455,7 +462,9 @@
             record.spec.class,
             record.spec.team
         );
-        self.jobs.insert(id, Job::new(record.spec, submitted, stamp));
+        let job = Job::new(record.spec, submitted, stamp);
+        self.arrivals.push_back((submitted, job.spec.clone()));
+        self.jobs.insert(id, job);
     }
 
     /// Takes up an assignment record read from the store. For a job that is over, its tasks are
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -9,7 +9,7 @@
 use crate::types::*;
 use crate::wire::{Flavor, Shape};
 use crate::workers::{Fleet, Life, Machine, Room};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// What one pass decides.
 #[derive(Debug, Default)]
@@ -20,6 +20,8 @@
     pub reserve: Vec<(HostId, JobId)>,
     /// Machines wanted; `true` where the loop's bound must not hold them back.
     pub hires: Vec<(Kind, bool)>,
+    /// Live machines whose room is kept ready for jobs that are likely to come.
+    pub ready: BTreeSet<HostId>,
 }
 
 pub struct Inputs<'a> {
@@ -30,6 +32,8 @@
     /// Tasks that each array may have running at once by its rate.
     pub paced: &'a HashMap<JobId, u32>,
     pub awaited: Vec<(Kind, u32)>,
+    /// Tasks that are likely to come before a machine hired for them would be up.
+    pub expected: &'a [(Job, u32)],
     pub refused: &'a dyn Fn(&Kind) -> bool,
 }
 
@@ -131,6 +135,43 @@
     }
 }
 
+/// Tasks that are likely to come before a machine hired for them would be up, of classes that users
+/// want started sooner than that. Arrivals are taken to come at the rate of the last minutes.
+pub fn expected(
+    settings: &Settings,
+    book: &Book,
+    fleet: &Fleet,
+    now: Mono,
+    since: Mono,
+) -> Vec<(Job, u32)> {
+    let Some(catalog) = &fleet.catalog else { return Vec::new() };
+    let boot_s = catalog.flavors.iter().map(|f| f.boot_s).fold(f64::INFINITY, f64::min);
+    let window_s = now.since(since).secs().min(ARRIVAL_WINDOW_S);
+    if !boot_s.is_finite() || window_s < boot_s {
+        return Vec::new();
+    }
+    let mut classes: BTreeMap<&str, (u32, u32, &crate::wire::JobSpec)> = BTreeMap::new();
+    for (at, spec) in &book.arrivals {
+        if now.since(*at).secs() <= window_s && *at >= since {
+            let entry = classes.entry(&spec.class).or_insert((0, 0, spec));
+            *entry = (entry.0 + 1, entry.1 + spec.tasks, spec);
+        }
+    }
+    let mut list = Vec::new();
+    for (class, (jobs, tasks, spec)) in classes {
+        let Some(within) = objective(settings, class, "wait") else { continue };
+        if within > boot_s * BOOT_SPREAD + settings.facts.workers.report_s {
+            continue;
+        }
+        let mean = f64::from(jobs) / window_s * boot_s * BOOT_SPREAD;
+        let jobs_ready = READY_MEAN * mean + READY_DEVIATIONS * mean.sqrt();
+        let count = jobs_ready * f64::from(tasks) / f64::from(jobs);
+        list.push((Job::expected(spec, now), count.round() as u32));
+    }
+    list.sort_by_key(|(job, _)| std::cmp::Reverse(job.spec.rank));
+    list
+}
+
 struct Pass<'a> {
     now: Mono,
     settings: &'a Settings,
@@ -143,7 +184,7 @@
 
 /// One pass over all jobs.
 pub fn plan(inputs: Inputs) -> Plan {
-    let Inputs { now, settings, book, fleet, paced, awaited, refused } = inputs;
+    let Inputs { now, settings, book, fleet, paced, awaited, expected, refused } = inputs;
     let guaranteed = guaranteed(settings, book);
     let overhead_s = settings.facts.workers.report_s;
     let mut order: Vec<(JobId, Mono)> = book
@@ -209,6 +250,9 @@
         let job = &book.jobs[&id];
         pass.singles(job, &rest, false, book, false);
     }
+    for (job, count) in expected {
+        pass.keep_ready(job, *count);
+    }
     pass.plan
 }
 
@@ -499,6 +543,21 @@
         best.map(|(_, kind, slot)| (kind, slot))
     }
 
+    /// Keeps room for tasks that are likely to come: on live machines, on those on their way, or on
+    /// further ones.
+    fn keep_ready(&mut self, job: &Job, count: u32) {
+        let need = Need { job, room: Room::from(&*job.spec) };
+        for _ in 0..count {
+            let mut zones = BTreeMap::new();
+            if let Some(at) = self.best(&need, true, &zones, None) {
+                self.take(at, &need, &mut zones);
+                self.plan.ready.extend(self.slots[at].host.clone());
+            } else if !self.count_on_new(&need, &mut zones, None, true) {
+                break;
+            }
+        }
+    }
+
     /// A gang starts whole or not at all.
     fn gang(&mut self, job: &Job, tasks: &[u32], book: &Book) {
         let need = Need { job, room: Room::from(&*job.spec) };
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -58,6 +58,7 @@
     paced: HashMap<JobId, u32>,
     shown: HashMap<String, ClassBias>,
     last_move: Mono,
+    expected: Vec<(Job, u32)>,
     place_dirty: bool,
     last_place: Mono,
     next_tick: Mono,
@@ -79,6 +80,7 @@
             paced: HashMap::new(),
             shown: HashMap::new(),
             last_move: Mono(0),
+            expected: Vec::new(),
             place_dirty: true,
             last_place: Mono(0),
             next_tick: now,
@@ -782,6 +784,12 @@
             target += rate;
             rates.push((id.clone(), rate, eq));
         }
+        // Room that is kept ready belongs to the floor, and so to the target.
+        for (job, count) in &self.expected {
+            let ready = self.core_equivalents(&job.spec) * f64::from(*count);
+            floor += ready;
+            target += ready;
+        }
         (target, floor, rates)
     }
 
@@ -798,6 +806,7 @@
     /// One period of the control loop.
     fn scale(&mut self, settings: &Settings, ops: &Operators, desk: &mut CloudDesk, now: Mono) {
         let (target, floor, rates) = self.demand(settings, ops.tick().secs(), now);
+        self.expected = placement::expected(settings, &self.book, &self.fleet, now, self.since);
         let awaited: f64 = desk
             .awaited()
             .filter_map(|(k, n)| Some(self.fleet.flavor(&k.flavor)?.cpus * f64::from(n)))
@@ -821,9 +830,9 @@
             self.planned
         );
         let plan = self.place(settings, desk, now);
+        self.return_idle(&plan, ops, desk, now);
+        self.consolidate(&plan, settings, desk, now);
         self.hire(plan, rented, bounds.max, desk);
-        self.return_idle(ops, desk, now);
-        self.consolidate(settings, desk, now);
     }
 
     /// Hires what the pass wished for: services, gangs and guarantees under the floor, arrays as
@@ -847,7 +856,7 @@
     }
 
     /// Returns machines that have been idle, the dearest first, while more is rented than planned.
-    fn return_idle(&mut self, ops: &Operators, desk: &mut CloudDesk, now: Mono) {
+    fn return_idle(&mut self, plan: &Plan, ops: &Operators, desk: &mut CloudDesk, now: Mono) {
         let keep = Millis(ops.idle_keep_ms);
         let mut rented = self.rented();
         let mut idle: Vec<(f64, f64, HostId)> = self
@@ -855,6 +864,7 @@
             .machines
             .values()
             .filter(|m| m.life == Life::Live && m.empty() && now.since(m.idle_since) >= keep)
+            .filter(|m| !plan.ready.contains(&m.id))
             .filter(|m| m.reserved.as_ref().is_none_or(|(_, until)| now >= *until))
             .filter_map(|m| {
                 let f = self.fleet.flavor(&m.flavor)?;
@@ -877,7 +887,7 @@
 
     /// While more is rented than planned and no machine stands idle, empties the one with least on
     /// it: replicas move one at a time, other tasks end by themselves.
-    fn consolidate(&mut self, settings: &Settings, desk: &mut CloudDesk, now: Mono) {
+    fn consolidate(&mut self, plan: &Plan, settings: &Settings, desk: &mut CloudDesk, now: Mono) {
         let cpus = |m: &Machine| self.fleet.flavor(&m.flavor).map_or(0.0, |f| f.cpus);
         let closing: Vec<HostId> = self
             .fleet
@@ -903,6 +913,7 @@
             .machines
             .values()
             .filter(|m| m.life == Life::Live && !m.empty() && m.strays.is_empty())
+            .filter(|m| !plan.ready.contains(&m.id))
             .filter(|m| m.reserved.as_ref().is_none_or(|(_, until)| now >= *until))
             .filter(|m| kept - cpus(m) >= self.planned)
             .filter(|m| closing.len() < CLOSING_MOST && roomy(&m.id))
@@ -949,6 +960,7 @@
             fleet: &self.fleet,
             paced: &self.paced,
             awaited: desk.awaited().collect(),
+            expected: &self.expected,
             refused: &refused,
         });
         let mut gangs: HashMap<JobId, Attempt> = HashMap::new();
@@ -1028,6 +1040,10 @@
             self.drain(now);
             self.scale(settings, ops, desk, now);
             self.fleet.forget_old(now);
+            let old = Millis::from_secs(ARRIVAL_WINDOW_S);
+            while self.book.arrivals.front().is_some_and(|(at, _)| now.since(*at) > old) {
+                self.book.arrivals.pop_front();
+            }
         } else if self.place_dirty && now.since(self.last_place) >= PLACE_EVERY_MS {
             self.place(settings, desk, now);
         }
