--- a/src/constants.rs
+++ b/src/constants.rs
@@ -126,6 +126,8 @@
 pub const MOVE_EVERY_MS: Millis = Millis(30_000);
 /// Machines being emptied at once so that they can be returned.
 pub const CLOSING_MOST: usize = 2;
+/// Seconds of fetching that weigh as much as a whole machine left over.
+pub const FETCH_WEIGHT_S: f64 = 20.0;
 /// Starts decided in one pass, to bound its processor time.
 pub const PLACE_BATCH: usize = 200;
 /// A machine that is being cleared for a job is kept for it this long.
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -49,6 +49,8 @@
     whole: Room,
     reserved: Option<JobId>,
     fetch: f64,
+    /// Images on their way there, and their sizes.
+    fetching: Vec<(String, f64)>,
 }
 
 /// What a task of a job needs and may use.
@@ -312,6 +314,7 @@
                 .filter(|(_, until)| now < *until)
                 .map(|(job, _)| job.clone()),
             fetch: flavor.fetch_gb_per_s,
+            fetching: m.fetching(),
         });
     }
     for (kind, number) in awaited {
@@ -336,6 +339,7 @@
         whole: Room::from(flavor),
         reserved: None,
         fetch: flavor.fetch_gb_per_s,
+        fetching: Vec::new(),
     }
 }
 
@@ -371,11 +375,7 @@
             *count = count.saturating_sub(1);
         }
         let Some(at) = pass.best(&need, true, &zones, None) else { return false };
-        let cached = pass.slots[at]
-            .host
-            .as_ref()
-            .and_then(|h| fleet.machines.get(h))
-            .is_some_and(|m| m.has_image(&job.spec.image));
+        let cached = pass.cached(&pass.slots[at], &job.spec.image);
         pass.take(at, &need, &mut zones);
         cached
     })
@@ -409,20 +409,25 @@
         usage.gpus += job.spec.gpus * tasks;
     }
 
+    fn cached(&self, slot: &Slot, image: &str) -> bool {
+        let machine = slot.host.as_ref().and_then(|h| self.fleet.machines.get(h));
+        machine.is_some_and(|m| m.has_image(image))
+    }
+
     /// Lower is better: a fetch costs its time, then the tightest fit wins.
     fn score(&self, need: &Need, slot: &Slot) -> f64 {
         let spec = &need.job.spec;
-        let cached = slot
-            .host
-            .as_ref()
-            .and_then(|h| self.fleet.machines.get(h))
-            .is_some_and(|m| m.has_image(&spec.image));
-        let fetch_s = if cached || slot.fetch <= 0.0 { 0.0 } else { spec.image_gb / slot.fetch };
+        let cached = self.cached(slot, &spec.image);
+        // Images fetched at the same time share the rate.
+        let known = slot.fetching.iter().any(|(name, _)| *name == spec.image);
+        let ahead: f64 = slot.fetching.iter().map(|(_, gb)| gb).sum();
+        let gb = if known { ahead } else { ahead + spec.image_gb };
+        let fetch_s = if cached || slot.fetch <= 0.0 { 0.0 } else { gb / slot.fetch };
         let mut left = slot.free;
         left.take(&need.room);
         let spare = left.share_of(&slot.whole);
         let dear = if spec.spot && !slot.spot { 0.5 } else { 0.0 };
-        fetch_s / 20.0 + spare + dear
+        fetch_s / FETCH_WEIGHT_S + spare + dear
     }
 
     fn best(
@@ -476,8 +481,13 @@
     }
 
     fn take(&mut self, at: usize, need: &Need, zones: &mut BTreeMap<Zone, u32>) {
+        let spec = &need.job.spec;
+        let cached = self.cached(&self.slots[at], &spec.image);
         let slot = &mut self.slots[at];
         slot.free.take(&need.room);
+        if !cached && slot.fetching.iter().all(|(name, _)| *name != spec.image) {
+            slot.fetching.push((spec.image.clone(), spec.image_gb));
+        }
         *zones.entry(slot.zone.clone()).or_default() += 1;
         self.count_usage(need.job, 1.0);
     }
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -350,6 +350,11 @@
             job.gang_enter(Gang::Running(attempt), "its tasks run");
         }
         let over = job.state != JobState::Open;
+        if phase != TaskPhase::Fetching
+            && let Some(machine) = self.fleet.machines.get_mut(&report.host)
+        {
+            machine.fetched(&job.spec.image);
+        }
         let Some(hold) = job.hold_mut(task.index) else {
             return;
         };
@@ -384,6 +389,11 @@
         let (index, mut gang_over) = (task.index, None);
         match cause {
             Cause::Done => {
+                if let Some(job) = self.book.get(id)
+                    && let Some(machine) = self.fleet.machines.get_mut(host)
+                {
+                    machine.fetched(&job.spec.image);
+                }
                 self.measure(task, now);
                 self.free(id, index, true, now);
                 // Tasks of a gang complete together.
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -81,6 +81,15 @@
     pub need: Room,
 }
 
+/// An image on a machine, or on its way there.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Image {
+    pub name: String,
+    pub gb: f64,
+    /// Whether a task that needs it was seen past its fetch.
+    pub ready: bool,
+}
+
 #[derive(Debug)]
 pub struct Machine {
     pub id: HostId,
@@ -105,8 +114,8 @@
     pub idle_since: Mono,
     pub faults: BTreeSet<JobId>,
     pub paused_until: Mono,
-    /// Images by last use, newest last, with their sizes.
-    pub images: Vec<(String, f64)>,
+    /// Images by last use, newest last.
+    pub images: Vec<Image>,
     pub reserved: Option<(JobId, Mono)>,
     /// Its held tasks were given up when its lease had run out; only a newer shift counts again.
     pub expired_shift: Option<Shift>,
@@ -124,11 +133,12 @@
     pub fn hold(&mut self, task: TaskId, need: Room, image: &str, image_gb: f64, cache_gb: f64) {
         self.used.add(&need);
         self.held.insert(task, need);
-        self.images.retain(|(name, _)| name != image);
-        self.images.push((image.to_owned(), image_gb));
-        let mut total: f64 = self.images.iter().map(|(_, gb)| gb).sum();
+        let ready = self.has_image(image);
+        self.images.retain(|i| i.name != image);
+        self.images.push(Image { name: image.to_owned(), gb: image_gb, ready });
+        let mut total: f64 = self.images.iter().map(|i| i.gb).sum();
         while total > cache_gb && self.images.len() > 1 {
-            total -= self.images.remove(0).1;
+            total -= self.images.remove(0).gb;
         }
     }
 
@@ -139,11 +149,24 @@
         if self.held.is_empty() {
             self.used = Room::default();
             self.idle_since = now;
+            // Without a task that waits for it, a fetch is given up.
+            self.images.retain(|i| i.ready);
+        }
+    }
+
+    pub fn fetched(&mut self, image: &str) {
+        if let Some(found) = self.images.iter_mut().find(|i| i.name == image) {
+            found.ready = true;
         }
     }
 
     pub fn has_image(&self, image: &str) -> bool {
-        self.images.iter().any(|(name, _)| name == image)
+        self.images.iter().any(|i| i.name == image && i.ready)
+    }
+
+    /// Images on their way; they share the machine's rate.
+    pub fn fetching(&self) -> Vec<(String, f64)> {
+        self.images.iter().filter(|i| !i.ready).map(|i| (i.name.clone(), i.gb)).collect()
     }
 
     pub fn empty(&self) -> bool {
@@ -319,9 +342,13 @@
         let m = fleet.machines.get_mut(&HostId::new("i-1")).unwrap();
         let task = |i| TaskId::new(&JobId::new("req-1"), i);
         m.hold(task(0), Room::default(), "x", 30.0, 60.0);
+        assert!(!m.has_image("x") && m.fetching().len() == 1);
+        m.fetched("x");
         m.hold(task(1), Room::default(), "y", 20.0, 60.0);
+        m.fetched("y");
         m.hold(task(2), Room::default(), "x", 30.0, 60.0);
         m.hold(task(3), Room::default(), "z", 25.0, 60.0);
+        m.fetched("z");
         assert!(m.has_image("x") && m.has_image("z") && !m.has_image("y"));
     }
 }
