Cut by beta over five seconds instead of every half second

Cause: the shorter tick made the cut twenty times as fast as the design's, so machines were returned and hired anew.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -19,6 +19,10 @@
 /// Default period of the control loop. DESIGN's 10 s adds one big machine per 100 s, slower than
 /// aims of seconds allow; half a second keeps α and reaches a machine of 48 cores in five.
 pub const TICK_MS: Millis = Millis(500);
+/// Time in which rented cores are cut by β. Additions follow at every tick, but a machine given up
+/// too early costs its boot again: cut by β at every half second, machines were returned and hired
+/// anew.
+pub const CUT_PERIOD_MS: Millis = Millis(5_000);
 /// Weight of one task in what is held of its class's misjudged run times: some ten tasks count.
 pub const BIAS_GAIN: f64 = 0.1;
 
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -833,7 +833,9 @@
         // stands for, is carried from tick to tick, though not beyond the target.
         let carried =
             if rented <= target { self.planned.max(rented) } else { self.planned.min(rented) };
-        let next = scaling::step(carried, target, bounds, ops.beta);
+        // β holds per cut period, spread evenly over its ticks.
+        let beta = ops.beta.powf(ops.tick().secs() / CUT_PERIOD_MS.secs());
+        let next = scaling::step(carried, target, bounds, beta);
         self.planned = if rented <= target { next } else { next.max(target.min(rented)) };
         log::debug!(
             "scaling: N* {target:.0}, floor {floor:.0}, rented {rented:.0}, planned {:.0}",
