--- a/src/placement.rs
+++ b/src/placement.rs
@@ -89,6 +89,19 @@
     })
 }
 
+/// Whether one more task of the job may be on the machine: its own wishes, the zones of its other
+/// tasks and its team's limit. Checked once more for every single start, whatever a plan says.
+pub fn permitted(settings: &Settings, book: &Book, job: &Job, machine: &Machine) -> bool {
+    let need = Need { job, room: Room::from(&*job.spec) };
+    let Some(team) = settings.team(&job.spec.team) else { return false };
+    let used = book.usage.get(&job.spec.team).copied().unwrap_or_default();
+    let within = |most: f64, used: f64, each: f64| most <= 0.0 || used + each <= most + 1e-6;
+    need.allows(&machine.flavor, &machine.zone, machine.spot)
+        && need.zone_open(&machine.zone, &job.zones)
+        && within(team.cpus_max, used.cpus, job.spec.cpus)
+        && within(team.gpus_max, used.gpus, job.spec.gpus)
+}
+
 /// Seconds within which the users' aims want the class started or done, whichever is known.
 pub fn objective(settings: &Settings, class: &str, kind: &str) -> Option<f64> {
     settings
@@ -403,6 +416,20 @@
         if count >= f64::from(u32::MAX) { u32::MAX } else { count as u32 }
     }
 
+    /// The zones of a job's tasks, those that this pass has started included: guards against an
+    /// array's second turn in a pass placing as if its first had not been.
+    fn zones_with_starts(&self, job: &Job) -> BTreeMap<Zone, u32> {
+        let mut zones = job.zones.clone();
+        for (id, _, host) in &self.plan.starts {
+            if *id == job.spec.id
+                && let Some(machine) = self.fleet.machines.get(host)
+            {
+                *zones.entry(machine.zone.clone()).or_default() += 1;
+            }
+        }
+        zones
+    }
+
     fn count_usage(&mut self, job: &Job, tasks: f64) {
         let usage = self.usage.entry(job.spec.team.clone()).or_default();
         usage.cpus += job.spec.cpus * tasks;
@@ -455,7 +482,7 @@
     fn singles(&mut self, job: &Job, tasks: &[u32], hire: bool, book: &Book, owed: bool) {
         let need = Need { job, room: Room::from(&*job.spec) };
         let most = self.within_limit(job) as usize;
-        let mut zones = job.zones.clone();
+        let mut zones = self.zones_with_starts(job);
         let mut wanting = 0;
         for index in tasks.iter().take(most) {
             if let Some(at) = self.best(&need, true, &zones, None) {
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -986,7 +986,7 @@
                 _ => self.new_attempt(),
             };
             gangs.insert(id.clone(), attempt);
-            self.assign(&id, index, &host, attempt, now);
+            self.assign(settings, &id, index, &host, attempt, now);
         }
         for (task, why, grace) in &plan.stops {
             self.stop(task, *why, *grace, now);
@@ -1011,13 +1011,22 @@
         }
     }
 
-    fn assign(&mut self, id: &JobId, index: u32, host: &HostId, attempt: Attempt, now: Mono) {
-        let Some(spec) = self.book.get(id).map(|j| j.spec.clone()) else {
-            return;
-        };
-        let Some(machine) = self.fleet.machines.get(host) else {
+    fn assign(
+        &mut self,
+        settings: &Settings,
+        id: &JobId,
+        index: u32,
+        host: &HostId,
+        attempt: Attempt,
+        now: Mono,
+    ) {
+        let Some(job) = self.book.get(id) else { return };
+        let Some(machine) = self.fleet.machines.get(host) else { return };
+        if !placement::permitted(settings, &self.book, job, machine) {
+            log::error!("task {id}/{index}: may not go to {host}; the plan is wrong");
             return;
-        };
+        }
+        let spec = job.spec.clone();
         let cache = self.fleet.flavor(&machine.flavor).map_or(0.0, |f| f.cache_gb);
         let hold = Hold {
             host: host.clone(),
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,143 @@
+//! Seeded days of the simulated world: every rule of the protocol after every step, and nothing
+//! accepted left undone once calm has returned. `OATLOOM_SEEDS=n` plays n seeds more.
+
+mod world;
+
+use oatloom::wire::JobStatus;
+use world::World;
+use world::checker::{Checker, OnMachine, Place};
+
+fn play(seed: u64, faults: bool) -> World {
+    let mut world = World::new(seed, faults);
+    world.play();
+    let broken = &world.checker.broken;
+    assert!(broken.is_empty(), "seed {seed} breaks rules: {broken:#?}");
+    let unfinished = world.unfinished();
+    assert!(unfinished.is_empty(), "seed {seed} leaves undone: {unfinished:#?}");
+    assert!(world.checker.starts > 0, "seed {seed} ran nothing");
+    world
+}
+
+fn seeds(first: u64, count: u64) {
+    let more: u64 = std::env::var("OATLOOM_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(0);
+    let (mut done, mut cancelled) = (0, 0);
+    for seed in first..first + count + more {
+        let world = play(seed, true);
+        done += world.told(JobStatus::Done);
+        cancelled += world.told(JobStatus::Cancelled);
+    }
+    assert!(done > 0 && cancelled > 0, "{done} done, {cancelled} cancelled");
+}
+
+#[test]
+fn a_calm_day_finishes_everything() {
+    let world = play(1, false);
+    assert!(world.told(JobStatus::Done) > 5);
+}
+
+#[test]
+fn days_of_trouble_keep_the_rules_1() {
+    seeds(1_000, 8);
+}
+
+#[test]
+fn days_of_trouble_keep_the_rules_2() {
+    seeds(2_000, 8);
+}
+
+#[test]
+fn days_of_trouble_keep_the_rules_3() {
+    seeds(3_000, 8);
+}
+
+#[test]
+fn days_of_trouble_keep_the_rules_4() {
+    seeds(4_000, 8);
+}
+
+#[test]
+fn the_same_seed_gives_the_same_day() {
+    let (a, b) = (play(1_001, true), play(1_001, true));
+    assert_eq!((a.checker.starts, a.now), (b.checker.starts, b.now));
+}
+
+/// The checker finds what is planted.
+#[test]
+fn the_checker_catches_planted_violations() {
+    let spec = |spread, one_zone| {
+        let text = r#"{"nameId":"req-1","jobclass":"c","owner":"red","shape":"sweep","rank":"low",
+            "shards":2,"cpus":1,"gpus":2,"memoryGb":1,"bundle":"i","pullGb":1,"flavors":["g4"],
+            "samePlace":false,"spread":false,"loaners":false,"expectS":1,"snapshotS":0,"flushS":0}"#;
+        let mut spec: oatloom::wire::JobSpec = serde_json::from_str(text).unwrap();
+        (spec.spread, spec.one_zone) = (spread, one_zone);
+        spec
+    };
+    let on = |index, host: &str| OnMachine { job: "req-1".into(), index, host: host.into() };
+    let place =
+        |flavor: &str, zone: &str, spot| Place { flavor: flavor.into(), zone: zone.into(), spot };
+    let good = || place("g4", "a", false);
+    let caught = |spread, one_zone, act: &dyn Fn(&mut Checker)| -> Vec<String> {
+        let limits = [("red".to_owned(), 3.0)].into();
+        let mut checker = Checker::new(limits, 1_000);
+        checker.submitted(&spec(spread, one_zone));
+        act(&mut checker);
+        let rule = |b: &String| b.split([' ', ':']).nth(2).unwrap_or_default().to_owned();
+        checker.broken.iter().map(rule).collect()
+    };
+    let view = |status: &str| format!(r#"{{"status":"{status}"}}"#);
+    assert!(caught(false, false, &|c| c.started(1, on(0, "x"), good())).is_empty());
+    let twice = caught(false, false, &|c| {
+        c.started(1, on(0, "x"), good());
+        c.started(2, on(0, "y"), good());
+    });
+    assert!(twice.contains(&"ran_twice".to_owned()) && twice.contains(&"quota".to_owned()));
+    for bad in [place("g2", "a", false), place("g4", "a", true)] {
+        let rules = caught(false, false, &|c| c.started(1, on(0, "x"), bad.clone()));
+        assert_eq!(rules, ["wrong_place"]);
+    }
+    let crowded = caught(true, false, &|c| {
+        c.started(1, on(0, "x"), good());
+        c.started(2, on(1, "y"), good());
+    });
+    assert!(crowded.contains(&"wrong_place".to_owned()));
+    let split = caught(false, true, &|c| {
+        c.started(1, on(0, "x"), good());
+        c.started(2, on(1, "y"), place("g4", "b", false));
+    });
+    assert!(split.contains(&"wrong_place".to_owned()));
+    let cancelled = |c: &mut Checker| {
+        c.cancel_asked("req-1");
+        c.answered(10, "req-1", 200, &view("cancelled"), false);
+    };
+    let lingers = caught(false, false, &|c| {
+        c.started(1, on(0, "x"), good());
+        cancelled(c);
+        c.look(2_000);
+    });
+    assert_eq!(lingers, ["ran_cancelled"]);
+    let starts = caught(false, false, &|c| {
+        cancelled(c);
+        c.started(2_000, on(0, "x"), good());
+    });
+    assert_eq!(starts, ["ran_cancelled"]);
+    let answers = |list: &'static [(u16, &'static str, bool)]| {
+        caught(false, false, &move |c| {
+            for (status, said, submission) in list {
+                c.answered(1, "req-1", *status, &view(said), *submission);
+            }
+        })
+    };
+    assert!(answers(&[(201, "queued", true), (200, "running", false)]).is_empty());
+    assert_eq!(answers(&[(201, "queued", true), (404, "", false)]), ["forgotten"]);
+    assert_eq!(answers(&[(201, "queued", true), (422, "", true)]), ["forgotten"]);
+    assert_eq!(answers(&[(201, "queued", true), (200, "done", false)]), ["not_done"]);
+    assert_eq!(answers(&[(200, "cancelled", false)]), ["went_back"]);
+    let back = caught(false, false, &|c| {
+        (0..2).for_each(|i| c.task_done("req-1", i));
+        c.answered(1, "req-1", 200, &view("done"), false);
+        c.answered(2, "req-1", 200, &view("running"), false);
+    });
+    assert_eq!(back, ["went_back"]);
+    let invented = caught(false, false, &|c| c.answered(1, "req-2", 200, &view("queued"), false));
+    assert_eq!(invented, ["invented"]);
+}
--- /dev/null
+++ b/tests/world/worker.rs
@@ -0,0 +1,249 @@
+//! Stand-in for a machine and its worker.
+
+use super::checker::{Checker, OnMachine, Place};
+use oatloom::types::{Attempt, HostId, Shift, Tally, Token, Zone};
+use oatloom::wire::{Cause, JobSpec, Order, Report, ReportAnswer, Shape, TaskPhase, TaskReport};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, HashMap};
+
+pub const REPORT_MS: u64 = 3_000;
+pub const LEASE_MS: u64 = 26_000;
+pub const DROP_MS: u64 = 4_000;
+
+#[derive(Clone, Debug)]
+pub struct Instance {
+    pub phase: TaskPhase,
+    pub cause: Option<Cause>,
+    /// End of the fetch, then of the run.
+    pub until: u64,
+    pub waiting_since: u64,
+}
+
+pub struct Worker {
+    pub host: String,
+    pub place: Place,
+    pub gpus: f64,
+    pub up_at: u64,
+    pub shift: u64,
+    pub tally: u64,
+    pub token: u64,
+    pub tasks: BTreeMap<(String, u32, u64), Instance>,
+    pub lease_from: u64,
+    pub node: usize,
+    pub next_report: u64,
+    /// Report under way: its id and when it was sent.
+    pub waiting: Option<(u64, u64)>,
+    pub hung_until: u64,
+    pub cut_until: u64,
+    pub notice_until: Option<u64>,
+    /// Every task fails on a faulty machine.
+    pub faulty: bool,
+    changed: bool,
+    last_report: u64,
+}
+
+impl Worker {
+    pub fn new(host: String, place: Place, gpus: f64, up_at: u64) -> Self {
+        Self {
+            host,
+            place,
+            gpus,
+            up_at,
+            shift: 1,
+            tally: 0,
+            token: 0,
+            tasks: BTreeMap::new(),
+            lease_from: up_at,
+            node: 0,
+            next_report: up_at,
+            waiting: None,
+            hung_until: 0,
+            cut_until: 0,
+            notice_until: None,
+            faulty: false,
+            changed: false,
+            last_report: 0,
+        }
+    }
+
+    fn on(&self, key: &(String, u32, u64)) -> OnMachine {
+        OnMachine { job: key.0.clone(), index: key.1, host: self.host.clone() }
+    }
+
+    /// Kills everything, as the cloud or an ended lease does.
+    pub fn kill(&mut self, checker: &mut Checker) {
+        for key in std::mem::take(&mut self.tasks).into_keys() {
+            checker.ended(&self.on(&key));
+        }
+    }
+
+    fn exit(&mut self, key: &(String, u32, u64), cause: Cause, checker: &mut Checker) {
+        let on = self.on(key);
+        if let Some(task) = self.tasks.get_mut(key) {
+            task.phase = TaskPhase::Exited;
+            task.cause = Some(cause);
+            self.changed = true;
+            checker.ended(&on);
+        }
+    }
+
+    /// Lets time pass; `gathered` says whether all of a gang's attempt wait or run.
+    pub fn step(
+        &mut self,
+        now: u64,
+        specs: &HashMap<String, JobSpec>,
+        gathered: &dyn Fn(&str, u64) -> bool,
+        lost: &dyn Fn(&str, u64) -> bool,
+        checker: &mut Checker,
+    ) {
+        if now > self.lease_from + LEASE_MS {
+            self.kill(checker);
+            self.shift += 1;
+            self.tally = 0;
+            self.lease_from = now;
+            self.waiting = None;
+            self.changed = true;
+        }
+        for key in self.tasks.keys().cloned().collect::<Vec<_>>() {
+            let spec = &specs[&key.0];
+            let task = self.tasks[&key].clone();
+            match task.phase {
+                TaskPhase::Fetching if now >= task.until => {
+                    checker.started(now, self.on(&key), self.place.clone());
+                    let gang = spec.shape == Shape::Gang;
+                    let phase = if gang { TaskPhase::Waiting } else { TaskPhase::Running };
+                    let until = now + (spec.estimate_s * 1000.0) as u64;
+                    self.tasks.insert(key, Instance { phase, until, waiting_since: now, ..task });
+                    self.changed = true;
+                }
+                TaskPhase::Waiting if gathered(&key.0, key.2) => {
+                    let until = now + (spec.estimate_s * 1000.0) as u64;
+                    let phase = TaskPhase::Running;
+                    self.tasks.insert(key, Instance { phase, until, ..task });
+                    self.changed = true;
+                }
+                TaskPhase::Waiting if now > task.waiting_since + 40_000 => {
+                    self.exit(&key, Cause::Incomplete, checker);
+                }
+                TaskPhase::Running if self.faulty => self.exit(&key, Cause::Error, checker),
+                TaskPhase::Running if spec.shape == Shape::Gang && lost(&key.0, key.2) => {
+                    self.exit(&key, Cause::Peers, checker);
+                }
+                TaskPhase::Running if spec.shape != Shape::Service && now >= task.until => {
+                    checker.task_done(&key.0, key.1);
+                    self.exit(&key, Cause::Done, checker);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Whether a report is to be sent now.
+    pub fn due(&self, now: u64) -> bool {
+        let soon = self.changed && now >= self.last_report + 500;
+        self.waiting.is_none() && (now >= self.next_report || soon)
+    }
+
+    pub fn report(&mut self, now: u64, id: u64, rng: &mut ChaCha8Rng) -> Report {
+        self.tally += 1;
+        self.changed = false;
+        self.last_report = now;
+        self.waiting = Some((id, now));
+        self.next_report = now + REPORT_MS * 3 / 4 + rng.random_range(0..REPORT_MS / 2);
+        Report {
+            host: HostId::new(&self.host),
+            addr: "10.0.0.1:1".into(),
+            flavor: self.place.flavor.clone(),
+            zone: Zone::new(&self.place.zone),
+            spot: self.place.spot,
+            shift: Shift(self.shift),
+            tally: Tally(self.tally),
+            token: Token(self.token),
+            notice_s: self.notice_until.map(|t| t.saturating_sub(now) as f64 / 1000.0),
+            tasks: self
+                .tasks
+                .iter()
+                .map(|((job, index, attempt), task)| TaskReport {
+                    task: format!("{job}/{index}"),
+                    attempt: Attempt(*attempt),
+                    status: task.phase,
+                    cause: task.cause,
+                    stored: false,
+                })
+                .collect(),
+        }
+    }
+
+    /// The next node is tried a second later.
+    pub fn turn_away(&mut self, now: u64, to: usize) {
+        self.waiting = None;
+        self.node = to;
+        self.next_report = now + 1_000;
+    }
+
+    /// Takes a 200 for the report sent at `sent`.
+    pub fn obey(
+        &mut self,
+        now: u64,
+        sent: u64,
+        answer: &ReportAnswer,
+        specs: &HashMap<String, JobSpec>,
+        rng: &mut ChaCha8Rng,
+        checker: &mut Checker,
+    ) {
+        self.waiting = None;
+        if answer.token.0 < self.token {
+            return;
+        }
+        self.changed |= answer.token.0 > self.token;
+        self.token = answer.token.0;
+        self.lease_from = self.lease_from.max(sent);
+        for order in &answer.orders {
+            let (Order::Run { task, attempt }
+            | Order::Stop { task, attempt, .. }
+            | Order::Forget { task, attempt }) = order;
+            let (job, index) = task.rsplit_once('/').expect("a task name");
+            let key = (job.to_owned(), index.parse().expect("an index"), attempt.0);
+            match order {
+                Order::Run { .. } => self.run(now, key, specs, rng),
+                Order::Stop { .. } => {
+                    if self.tasks.get(&key).is_some_and(|t| t.phase != TaskPhase::Exited) {
+                        self.exit(&key, Cause::Stopped, checker);
+                    }
+                }
+                Order::Forget { .. } => {
+                    if self.tasks.get(&key).is_some_and(|t| t.phase == TaskPhase::Exited) {
+                        self.tasks.remove(&key);
+                    }
+                }
+            }
+        }
+    }
+
+    fn run(
+        &mut self,
+        now: u64,
+        key: (String, u32, u64),
+        specs: &HashMap<String, JobSpec>,
+        rng: &mut ChaCha8Rng,
+    ) {
+        if self.tasks.contains_key(&key) {
+            return;
+        }
+        let active = || self.tasks.iter().filter(|(_, t)| t.phase != TaskPhase::Exited);
+        let used: f64 = active().map(|((job, ..), _)| specs[job].gpus).sum();
+        let cause = match specs.get(&key.0) {
+            None => Some(Cause::Unknown),
+            Some(_) if active().any(|((j, i, _), _)| *j == key.0 && *i == key.1) => {
+                Some(Cause::Busy)
+            }
+            Some(spec) if used + spec.gpus > self.gpus + 1e-9 => Some(Cause::NoRoom),
+            Some(_) => None,
+        };
+        let phase = if cause.is_some() { TaskPhase::Exited } else { TaskPhase::Fetching };
+        let until = now + rng.random_range(300..4_000);
+        self.tasks.insert(key, Instance { phase, cause, until, waiting_since: 0 });
+        self.changed = true;
+    }
+}
