Three failures found by the simulated world: an older answer, a stuck job, a faulty machine

An end being written may already have been read and told by another controller, so the leader now says nothing of such a job (503 with Retry-After) instead of its last open state; users who wait for a cancellation are told at once when the store does not answer. An array whose allowed zone had no machine waited for ever while the target in cores was met elsewhere; it now counts as starved and gets one. A job that failed on a machine was sent back to it for its image; it now avoids it, and what is done elsewhere blames the machine.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -101,6 +101,8 @@
 pub const REDIRECT_S: f64 = 8.0;
 /// Failures of different jobs that make a machine faulty.
 pub const FAULTY_ERRORS: usize = 2;
+/// A job that failed on this many machines is taken to be at fault itself.
+pub const OWN_FAULT_HOSTS: usize = 3;
 /// Pause before a job that failed is tried again; doubles with each failure.
 pub const ERROR_PAUSE_MS: Millis = Millis(2_000);
 /// Longest such pause.
@@ -132,6 +134,9 @@
 pub const CLOSING_MOST: usize = 2;
 /// Seconds of fetching that weigh as much as a whole machine left over.
 pub const FETCH_WEIGHT_S: f64 = 20.0;
+/// An array of which nothing runs after this long gets a machine whatever the loop's target, in
+/// seconds.
+pub const STARVED_S: f64 = 60.0;
 /// Starts decided in one pass, to bound its processor time.
 pub const PLACE_BATCH: usize = 200;
 /// A machine that is being cleared for a job is kept for it this long.
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -287,11 +287,7 @@
                 }
                 self.store.lead(false);
                 self.writer = Writer::Idle;
-                let waiting: Vec<ConnId> =
-                    self.waiting_end.drain().flat_map(|(_, conns)| conns).collect();
-                for conn in waiting {
-                    self.reply(conn, HttpReply::later("the leader changes"));
-                }
+                self.turn_waiters_away();
             }
             None => {}
         }
@@ -464,6 +460,7 @@
                 let items: Vec<Item> = written.iter().map(|w| w.item().clone()).collect();
                 reign.book.requeue(written);
                 self.resolve(now, token, items);
+                self.turn_waiters_away();
             }
             other => {
                 if let StoreReply::Malformed(text) = &other {
@@ -471,10 +468,19 @@
                 }
                 reign.book.requeue(written);
                 self.write_after = now.plus(STORE_PAUSE_MS);
+                self.turn_waiters_away();
             }
         }
     }
 
+    /// Those who wait for a job's end to become durable are told at once when that takes longer.
+    fn turn_waiters_away(&mut self) {
+        let waiting: Vec<ConnId> = self.waiting_end.drain().flat_map(|(_, conns)| conns).collect();
+        for conn in waiting {
+            self.reply(conn, HttpReply::later("the end could not be written yet"));
+        }
+    }
+
     fn resolve(&mut self, now: Mono, token: Token, items: Vec<Item>) {
         let Some(item) = items.last().cloned() else {
             self.writer = Writer::Idle;
@@ -715,15 +721,22 @@
             return;
         };
         match question {
-            Question::View(id) => match reign.book.view(&id) {
-                Some(view) => self.reply(conn, HttpReply::json(200, &view)),
-                None => self.lookup(now.mono, conn, id, Why::View),
+            Question::View(id) => match (reign.book.view(&id), reign.book.get(&id)) {
+                (Some(view), _) => self.reply(conn, HttpReply::json(200, &view)),
+                (None, Some(job)) if job.state != JobState::Over => {
+                    self.reply(conn, HttpReply::later("its end is being written"));
+                }
+                _ => self.lookup(now.mono, conn, id, Why::View),
             },
             Question::Abort(id) => match reign.book.get(&id).map(|j| j.state) {
                 None | Some(JobState::Over) => self.lookup(now.mono, conn, id, Why::Abort),
                 Some(_) => {
                     reign.end_job(&id, JobStatus::Cancelled, "cancelled by its user", now.mono);
-                    self.waiting_end.entry(id).or_default().push(conn);
+                    if now.mono < self.write_after {
+                        self.reply(conn, HttpReply::later("the state service cannot be reached"));
+                    } else {
+                        self.waiting_end.entry(id).or_default().push(conn);
+                    }
                 }
             },
         }
@@ -787,6 +800,12 @@
             }
             return;
         }
+        if let Why::Abort = why
+            && self.reign.as_ref().is_some_and(|r| r.book.get(&id).is_some())
+            && self.leadership.valid(now.mono).is_some()
+        {
+            return self.answer_as_leader(now, conn, Question::Abort(id));
+        }
         match why {
             // That it is accepted, and not over, was true when the key was read.
             Why::Submit(_) => {
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -469,6 +469,7 @@
             .iter()
             .enumerate()
             .filter(|(_, s)| s.live == live && s.free.fits(&need.room))
+            .filter(|(_, s)| s.host.as_ref().is_none_or(|h| !need.job.avoids(h)))
             .filter(|(_, s)| s.reserved.as_ref().is_none_or(|r| r == id))
             .filter(|(_, s)| need.allows(&s.flavor, &s.zone, s.spot))
             .filter(|(_, s)| only.is_none_or(|z| *z == s.zone))
@@ -497,7 +498,7 @@
                 break;
             }
             wanting += 1;
-            let urgent = job.spec.shape != Shape::Array || owed;
+            let urgent = job.spec.shape != Shape::Array || owed || self.starved(&need);
             if !self.count_on_new(&need, &mut zones, None, urgent) {
                 break;
             }
@@ -507,6 +508,16 @@
         }
     }
 
+    /// Whether an array has nothing running and nothing to hope for: no machine that it may use is
+    /// there, or it has waited long. Guards against a target in cores that is met by machines of
+    /// the wrong zone, type or kind, for which the job would wait for ever.
+    fn starved(&self, need: &Need) -> bool {
+        let job = need.job;
+        let usable = |s: &Slot| need.allows(&s.flavor, &s.zone, s.spot) && s.whole.fits(&need.room);
+        job.held == 0
+            && (self.now.since(job.submitted).secs() > STARVED_S || !self.slots.iter().any(usable))
+    }
+
     fn take(&mut self, at: usize, need: &Need, zones: &mut BTreeMap<Zone, u32>) {
         let spec = &need.job.spec;
         let cached = self.cached(&self.slots[at], &spec.image);
@@ -694,6 +705,7 @@
                 || self.plan.reserve.iter().any(|(h, _)| *h == m.id);
             if !usable(m, self.now)
                 || taken
+                || job.avoids(&m.id)
                 || !need.allows(&m.flavor, &m.zone, m.spot)
                 || !need.zone_open(&m.zone, &job.zones)
                 || !self.fleet.room_of(m).fits(&need.room)
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -394,6 +394,7 @@
                 {
                     machine.fetched(&job.spec.image);
                 }
+                self.blame(id);
                 self.measure(task, now);
                 self.free(id, index, true, now);
                 // Tasks of a gang complete together.
@@ -450,7 +451,7 @@
         let doublings = job.errors.saturating_sub(1).min(16);
         let pause = (ERROR_PAUSE_MS.0 << doublings).min(ERROR_PAUSE_MAX_MS.0);
         job.paused_until = now.plus(Millis(pause));
-        let own_fault = job.error_hosts.len() > 1;
+        let own_fault = job.error_hosts.len() >= OWN_FAULT_HOSTS;
         let hosts: Vec<HostId> = job.error_hosts.iter().cloned().collect();
         log::info!("job {id}: error number {} on {host}, next try in {pause} ms", job.errors);
         if own_fault {
@@ -471,6 +472,19 @@
         }
     }
 
+    /// A job is done where it did not fail: the machines on which it failed are at fault.
+    fn blame(&mut self, id: &JobId) {
+        let Some(job) = self.book.get(id) else { return };
+        if job.error_hosts.len() >= OWN_FAULT_HOSTS {
+            return;
+        }
+        for host in &job.error_hosts {
+            if let Some(machine) = self.fleet.machines.get_mut(host) {
+                machine.enter(Life::Draining, "what fails on it is done elsewhere");
+            }
+        }
+    }
+
     /// Notes a completed task's cost, in core equivalents times seconds.
     fn measure(&mut self, task: &TaskId, now: Mono) {
         let eq = self.book.get(&task.job).map_or(0.0, |j| self.core_equivalents(&j.spec));
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -88,6 +88,18 @@
         }
     }
 
+    /// Without an answer in time, everything is killed and the next session begins.
+    pub fn end_lease(&mut self, now: u64, checker: &mut Checker) {
+        if now > self.lease_from + LEASE_MS {
+            self.kill(checker);
+            self.shift += 1;
+            self.tally = 0;
+            self.lease_from = now;
+            self.waiting = None;
+            self.changed = true;
+        }
+    }
+
     /// Lets time pass; `gathered` says whether all of a gang's attempt wait or run.
     pub fn step(
         &mut self,
@@ -97,14 +109,7 @@
         lost: &dyn Fn(&str, u64) -> bool,
         checker: &mut Checker,
     ) {
-        if now > self.lease_from + LEASE_MS {
-            self.kill(checker);
-            self.shift += 1;
-            self.tally = 0;
-            self.lease_from = now;
-            self.waiting = None;
-            self.changed = true;
-        }
+        self.end_lease(now, checker);
         for key in self.tasks.keys().cloned().collect::<Vec<_>>() {
             let spec = &specs[&key.0];
             let task = self.tasks[&key].clone();
