--- a/src/settings.rs
+++ b/src/settings.rs
@@ -288,46 +288,7 @@
     use super::*;
 
     /// A settings file as a platform writes it, with fields this program does not know.
-    pub const SAMPLE: &str = r#"
-member = "n-0"
-location = "a"
-serve_on = "127.0.0.1:8080"
-mesh_addr = "127.0.0.1:8081"
-novel = 1
-[[peers]]
-member = "n-1"
-location = "b"
-peer_addr = "127.0.0.1:8082"
-[endpoints]
-cloud = "127.0.0.1:1"
-state = "127.0.0.1:2"
-[facts]
-zones = ["a", "b"]
-clock_off_ms = 25.0
-[[facts.teams]]
-name = "t"
-gpus_max = 4.0
-[[facts.objectives]]
-kind = "novel"
-[facts.workers]
-report_s = 3.0
-lease_s = 30.0
-gang_wait_s = 40.0
-gang_peer_s = 4.0
-cancel_s = 50.0
-[facts.state]
-rps = 100.0
-write_rps = 30.0
-value_kb = 8.0
-txn_ops = 16
-[facts.cloud]
-rps = 6.0
-list_lag_s = 4.0
-[facts.limits]
-cpu_share = 0.5
-memory_mb = 100.0
-sockets = 1000
-"#;
+    pub const SAMPLE: &str = include_str!("../tests/sample.toml");
 
     #[test]
     fn unknown_fields_are_ignored_and_senseless_values_named() {
--- /dev/null
+++ b/tests/loopback.rs
@@ -0,0 +1,256 @@
+//! One controller over real sockets on loopback, against stand-ins of the state service and the
+//! cloud that answer HTTP.
+
+#[allow(dead_code)]
+#[path = "world/state.rs"]
+mod state;
+
+use oatloom::settings::{Operators, Settings};
+use oatloom::store::{StoreOp, StoreReply};
+use oatloom::types::{LeaseId, Revision};
+use serde_json::{Value, json};
+use state::State;
+use std::collections::HashMap;
+use std::net::TcpListener;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+fn free_address() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("an address").to_string()
+}
+
+/// Serves `answer` for every request, each on a thread of its own.
+fn serve(answer: impl Fn(&str, &str, &str) -> (u16, Value) + Send + Sync + 'static) -> String {
+    let server = tiny_http::Server::http("127.0.0.1:0").expect("a server");
+    let address = server.server_addr().to_string();
+    let answer = Arc::new(answer);
+    std::thread::spawn(move || {
+        for mut request in server.incoming_requests() {
+            let answer = answer.clone();
+            std::thread::spawn(move || {
+                let mut body = String::new();
+                let _ = request.as_reader().read_to_string(&mut body);
+                let (method, url) = (request.method().to_string(), request.url().to_owned());
+                let (status, value) = answer(&method, &url, &body);
+                let response = tiny_http::Response::from_string(value.to_string());
+                let _ = request.respond(response.with_status_code(status));
+            });
+        }
+    });
+    address
+}
+
+fn state_service() -> String {
+    let state = Mutex::new(State::default());
+    let start = Instant::now();
+    serve(move |method, url, body| {
+        let (path, query) = url.split_once('?').unwrap_or((url, ""));
+        let query: HashMap<&str, &str> =
+            query.split('&').filter_map(|p| p.split_once('=')).collect();
+        let text = |name: &str| query.get(name).copied().unwrap_or_default().to_owned();
+        let id = || LeaseId(path.split('/').nth(2).and_then(|s| s.parse().ok()).unwrap_or(0));
+        let op = match (method, path) {
+            ("GET", "/keys") => StoreOp::List { prefix: text("prefix"), after: text("after") },
+            ("GET", "/follow") => {
+                std::thread::sleep(Duration::from_millis(50));
+                let after = Revision(text("after").parse().unwrap_or(0));
+                StoreOp::Follow { prefix: text("prefix"), after }
+            }
+            ("GET", key) => StoreOp::Get { key: key.trim_start_matches("/keys/").into() },
+            ("POST", "/multi") => StoreOp::Txn(serde_json::from_str(body).expect("a transaction")),
+            ("POST", "/grants") => {
+                let ttl: Value = serde_json::from_str(body).expect("a lease");
+                StoreOp::Grant { ttl_ms: ttl["ttlMs"].as_u64().expect("a time") }
+            }
+            ("POST", _) => StoreOp::Touch { lease: id() },
+            _ => StoreOp::Revoke { lease: id() },
+        };
+        let mut state = state.lock().expect("the state");
+        let now = start.elapsed().as_millis() as u64;
+        state.expire(now);
+        match state.execute(now, &op) {
+            StoreReply::Found(row) => (200, json!(row)),
+            StoreReply::Missing(revision) => (404, json!({ "epoch": revision })),
+            StoreReply::Page(page) => (200, json!(page)),
+            StoreReply::Committed(revision) => (200, json!({ "epoch": revision })),
+            StoreReply::Conflict(failed) => (409, json!({ "failed": failed, "epoch": 0 })),
+            StoreReply::Granted(lease) => (200, json!({ "tenancy": lease })),
+            StoreReply::Touched => (200, json!({})),
+            StoreReply::Changes(changes) => (200, json!(changes)),
+            StoreReply::NoSuchLease => (404, json!({})),
+            other => (400, json!({ "error": format!("{other:?}") })),
+        }
+    })
+}
+
+fn cloud() -> String {
+    serve(|method, url, _| match (method, url) {
+        ("GET", "/catalog") => {
+            let flavor = json!({"label": "g4", "cpus": 32.0, "gpus": 4.0, "memoryGb": 64.0,
+                "localGb": 50.0, "fetchGbPerS": 1.0, "rate": 4.0, "spotPrice": 2.0, "readyS": 5.0,
+                "yards": ["a", "b"]});
+            (200, json!({ "flavors": [flavor] }))
+        }
+        ("GET", _) => (200, json!({ "hosts": [], "more": false })),
+        ("POST", "/machines") => (503, json!({ "error": "no capacity" })),
+        _ => (200, json!({})),
+    })
+}
+
+struct Node {
+    agent: ureq::Agent,
+    base: String,
+}
+
+impl Node {
+    fn ask(&self, method: &str, path: &str, body: Option<String>) -> (u16, Value, Option<String>) {
+        let url = format!("{}{path}", self.base);
+        let answer = match (method, body) {
+            ("POST", body) => self.agent.post(url).send(body.unwrap_or_default()),
+            _ => self.agent.get(url).call(),
+        };
+        let Ok(mut answer) = answer else { return (0, Value::Null, None) };
+        let later = answer.headers().get("Retry-After");
+        let later = later.and_then(|v| v.to_str().ok()).map(str::to_owned);
+        let text = answer.body_mut().read_to_string().unwrap_or_default();
+        (answer.status().as_u16(), serde_json::from_str(&text).unwrap_or_default(), later)
+    }
+
+    fn until(&self, what: &str, good: impl Fn(&Self) -> bool) {
+        let start = Instant::now();
+        while !good(self) {
+            assert!(start.elapsed() < Duration::from_secs(20), "{what}: not within 20 s");
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+}
+
+fn start() -> Node {
+    let (listen, mesh, state, cloud) = (free_address(), free_address(), state_service(), cloud());
+    let text = format!(
+        r#"
+member = "n-0"
+location = "a"
+serve_on = "{listen}"
+mesh_addr = "{mesh}"
+[endpoints]
+cloud = "{cloud}"
+state = "{state}"
+[facts]
+zones = ["a", "b"]
+clock_off_ms = 10.0
+[[facts.teams]]
+name = "red"
+gpus_max = 8.0
+[facts.workers]
+report_s = 3.0
+lease_s = 26.0
+gang_wait_s = 40.0
+gang_peer_s = 4.0
+cancel_s = 46.0
+[facts.state]
+rps = 200.0
+write_rps = 100.0
+value_kb = 8.0
+txn_ops = 16
+[facts.cloud]
+rps = 6.0
+list_lag_s = 4.0
+[facts.limits]
+memory_mb = 100.0
+sockets = 1000
+"#
+    );
+    let settings = Settings::parse(&text).expect("sound settings");
+    std::thread::spawn(move || oatloom::edge::run(settings, Operators::default()));
+    let config = ureq::Agent::config_builder().http_status_as_error(false);
+    let config = config.timeout_global(Some(Duration::from_secs(5))).build();
+    Node { agent: ureq::Agent::new_with_config(config), base: format!("http://{listen}") }
+}
+
+fn job(id: &str, gpus: f64) -> String {
+    json!({"nameId": id, "jobclass": "c", "owner": "red", "shape": "sweep", "rank": "standard",
+        "shards": 1, "cpus": 1.0, "gpus": gpus, "memoryGb": 1.0, "bundle": "img", "pullGb": 1.0,
+        "samePlace": false, "spread": false, "loaners": false, "expectS": 5.0, "snapshotS": 0.0,
+        "flushS": 0.0, "padding": "x".repeat(2_000)})
+    .to_string()
+}
+
+fn report(tally: u64, token: u64, tasks: Value) -> String {
+    json!({"host": "i-000001", "addr": "127.0.0.1:9", "flavor": "g4", "yard": "a",
+        "loaners": false, "shift": 1, "tally": tally, "baton": token, "warningS": null,
+        "shards": tasks})
+    .to_string()
+}
+
+/// From a submission to a task's end and a cancellation, as users and a worker see them.
+#[test]
+fn a_controller_serves_users_and_workers_over_http() {
+    let node = start();
+    node.until("up", |n| n.ask("GET", "/up", None).0 == 200);
+    // A body above the size that arrives with its head, so that it is read apart.
+    let submit = |id, gpus| node.ask("POST", "/v2/runs", Some(job(id, gpus))).0;
+    assert_eq!(submit("req-000001", 1.0), 201);
+    assert_eq!(submit("req-000001", 1.0), 200);
+    assert_eq!(submit("req-000002", 9.0), 422);
+    assert_eq!(submit("req-000001", 9.0), 200, "known before its text is judged");
+    assert_eq!(submit("other-1", 1.0), 400);
+    assert_eq!(node.ask("POST", "/v2/runs", Some("{".into())).0, 400);
+    assert_eq!(node.ask("POST", "/v2/runs", Some("x".repeat(70_000))).0, 413);
+    assert_eq!(node.ask("GET", "/v2/runs/req-000009", None).0, 404);
+    assert_eq!(node.ask("GET", "/elsewhere", None).0, 404);
+
+    let mut tally = 1;
+    let mut say = |token: u64, tasks: Value| {
+        tally += 1;
+        let (status, answer, _) = node.ask("POST", "/v1/report", Some(report(tally, token, tasks)));
+        assert_eq!(status, 200, "{answer}");
+        answer
+    };
+    let token = say(0, json!([]))["baton"].as_u64().expect("a token");
+    let start = Instant::now();
+    let run = loop {
+        let answer = say(token, json!([]));
+        if let Some(order) = answer["orders"].as_array().and_then(|o| o.first()) {
+            break order.clone();
+        }
+        assert!(start.elapsed() < Duration::from_secs(20), "no start command");
+        std::thread::sleep(Duration::from_millis(100));
+    };
+    assert_eq!((&run["verb"], &run["shard"]), (&json!("run"), &json!("req-000001/0")));
+    let ended = json!([{"shard": run["shard"], "try": run["try"], "status": "ended",
+        "cause": "done"}]);
+    say(token, ended.clone());
+    node.until("done", |n| n.ask("GET", "/v2/runs/req-000001", None).1["status"] == "done");
+    let forget = say(token, ended);
+    assert_eq!(forget["orders"][0]["verb"], "forget");
+    assert_eq!(submit("req-000001", 1.0), 200, "known when it is over");
+
+    assert_eq!(submit("req-000003", 1.0), 201);
+    let cancel = || node.ask("POST", "/v2/runs/req-000003/abort", None).1["status"].clone();
+    assert_eq!((cancel(), cancel()), (json!("cancelled"), json!("cancelled")));
+    let (status, done, _) = node.ask("POST", "/v2/runs/req-000001/abort", None);
+    assert_eq!((status, &done["status"]), (200, &json!("done")));
+}
+
+/// A worker that is told 503, and a user too early, learn so at once.
+#[test]
+fn a_controller_without_its_services_answers_at_once() {
+    let listen = free_address();
+    let text = include_str!("sample.toml").replace("127.0.0.1:8080", &listen);
+    let text = text.replace("127.0.0.1:8081", &free_address());
+    let text = text.replace("127.0.0.1:1\"", &format!("{}\"", free_address()));
+    let text = text.replace("127.0.0.1:2\"", &format!("{}\"", free_address()));
+    let settings = Settings::parse(&text).expect("sound settings");
+    std::thread::spawn(move || oatloom::edge::run(settings, Operators::default()));
+    let config = ureq::Agent::config_builder().http_status_as_error(false).build();
+    let node =
+        Node { agent: ureq::Agent::new_with_config(config), base: format!("http://{listen}") };
+    node.until("answers", |n| n.ask("GET", "/up", None).0 == 503);
+    let asked = Instant::now();
+    let (status, _, later) = node.ask("POST", "/v2/runs", Some(job("req-000001", 1.0)));
+    assert_eq!((status, later.as_deref()), (503, Some("1")));
+    assert_eq!(node.ask("POST", "/v1/report", Some(report(1, 0, json!([])))).0, 503);
+    assert!(asked.elapsed() < Duration::from_secs(1));
+}
