--- a/src/constants.rs
+++ b/src/constants.rs
@@ -121,6 +121,10 @@
 pub const LATE_AFTER_S: f64 = 300.0;
 /// How far back arrivals are counted when room is kept ready for a class, in seconds.
 pub const ARRIVAL_WINDOW_S: f64 = 180.0;
+/// Arrivals of a class within this span count up to the number below.
+pub const ARRIVAL_BUCKET_MS: Millis = Millis(10_000);
+/// The most arrivals of a class that count within one span.
+pub const ARRIVAL_BUCKET_MOST: u32 = 2;
 /// Room kept ready for a class that users want started sooner than a machine boots: this many times
 /// the arrivals expected while one boots, plus this many of their standard deviations.
 pub const READY_MEAN: f64 = 1.0;
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -166,8 +166,13 @@
         return Vec::new();
     }
     let mut classes: BTreeMap<&str, (u32, u32, &crate::wire::JobSpec)> = BTreeMap::new();
+    let mut buckets: HashMap<(&str, u64), u32> = HashMap::new();
     for (at, spec) in &book.arrivals {
-        if now.since(*at).secs() <= window_s && *at >= since {
+        // What comes at once is no rate: guards against taking a first load, or the jobs that a
+        // new leader finds, for the pace at which more will come.
+        let bucket = buckets.entry((&spec.class, at.0 / ARRIVAL_BUCKET_MS.0)).or_default();
+        *bucket += 1;
+        if now.since(*at).secs() <= window_s && *bucket <= ARRIVAL_BUCKET_MOST {
             let entry = classes.entry(&spec.class).or_insert((0, 0, spec));
             *entry = (entry.0 + 1, entry.1 + spec.tasks, spec);
         }
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -830,7 +830,11 @@
     /// One period of the control loop.
     fn scale(&mut self, settings: &Settings, ops: &Operators, desk: &mut CloudDesk, now: Mono) {
         let (target, floor, rates) = self.demand(settings, ops.tick().secs(), now);
-        self.expected = placement::expected(settings, &self.book, &self.fleet, now, self.since);
+        self.expected = {
+            let known = self.book.arrivals.iter().map(|(at, _)| *at).min();
+            let since = known.unwrap_or(self.since).min(self.since);
+            placement::expected(settings, &self.book, &self.fleet, now, since)
+        };
         let awaited: f64 = desk
             .awaited()
             .filter_map(|(k, n)| Some(self.fleet.flavor(&k.flavor)?.cpus * f64::from(n)))
