--- a/src/constants.rs
+++ b/src/constants.rs
@@ -141,6 +141,8 @@
 /// An array of which nothing runs after this long gets a machine whatever the loop's target, in
 /// seconds.
 pub const STARVED_S: f64 = 60.0;
+/// What using a machine again that is being emptied weighs, in whole machines left over.
+pub const REOPEN_WEIGHT: f64 = 3.0;
 /// Starts decided in one pass, to bound its processor time.
 pub const PLACE_BATCH: usize = 200;
 /// A machine that is being cleared for a job is kept for it this long.
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -42,6 +42,8 @@
 struct Slot {
     host: Option<HostId>,
     live: bool,
+    /// Being emptied: used again before another machine is hired, but only then.
+    closing: bool,
     flavor: String,
     zone: Zone,
     spot: bool,
@@ -305,7 +307,7 @@
 
 /// Whether new tasks may go to the machine.
 fn usable(m: &Machine, now: Mono) -> bool {
-    m.life == Life::Live && now >= m.paused_until
+    matches!(m.life, Life::Live | Life::Closing) && now >= m.paused_until
 }
 
 fn slots(fleet: &Fleet, awaited: &[(Kind, u32)], now: Mono) -> Vec<Slot> {
@@ -321,6 +323,7 @@
         slots.push(Slot {
             host: Some(m.id.clone()),
             live,
+            closing: m.life == Life::Closing,
             flavor: m.flavor.clone(),
             zone: m.zone.clone(),
             spot: m.spot,
@@ -350,6 +353,7 @@
     Slot {
         host: None,
         live: false,
+        closing: false,
         flavor: kind.flavor.clone(),
         zone: kind.zone.clone(),
         spot: kind.spot,
@@ -372,7 +376,7 @@
 ) -> bool {
     let Some(machine) = fleet.machines.get(host) else { return false };
     let mut slots = slots(fleet, &[], now);
-    slots.retain(|s| s.host.as_ref() != Some(host));
+    slots.retain(|s| s.host.as_ref() != Some(host) && !s.closing);
     let mut pass = Pass {
         now,
         settings,
@@ -459,7 +463,8 @@
         left.take(&need.room);
         let spare = left.share_of(&slot.whole);
         let dear = if spec.spot && !slot.spot { 0.5 } else { 0.0 };
-        fetch_s / FETCH_WEIGHT_S + spare + dear
+        let reopened = if slot.closing { REOPEN_WEIGHT } else { 0.0 };
+        fetch_s / FETCH_WEIGHT_S + spare + dear + reopened
     }
 
     fn best(
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -918,6 +918,11 @@
     /// While more is rented than planned and no machine stands idle, empties the one with least on
     /// it: replicas move one at a time, other tasks end by themselves.
     fn consolidate(&mut self, plan: &Plan, settings: &Settings, desk: &mut CloudDesk, now: Mono) {
+        for host in &plan.ready {
+            if let Some(m) = self.fleet.machines.get_mut(host).filter(|m| m.life == Life::Closing) {
+                m.enter(Life::Live, "kept ready");
+            }
+        }
         let cpus = |m: &Machine| self.fleet.flavor(&m.flavor).map_or(0.0, |f| f.cpus);
         let closing: Vec<HostId> = self
             .fleet
@@ -1064,6 +1069,9 @@
         if let Some(machine) = self.fleet.machines.get_mut(host) {
             let need = Room::from(&*spec);
             machine.hold(TaskId::new(id, index), need, &spec.image, spec.image_gb, cache);
+            if machine.life == Life::Closing {
+                machine.enter(Life::Live, "needed again");
+            }
         }
         log::debug!("task {id}/{index}: assigned to {host}");
     }
