Do not count on machines that are late to boot; steady clock starts high

Cause: gangs waited 90 s behind a machine that never came up, and after all controllers had crashed a new process took every older job for as young as itself, since its steady clock began at 0.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -28,6 +28,9 @@
 
 // --- Clocks and leadership --------------------------------------------------
 
+/// What a process's steady clock shows at its start: jobs are older than the process that takes
+/// them over, and their times must not be cut off at 0 (which slices use for "never").
+pub const CLOCK_START_MS: Millis = Millis(1_000_000_000);
 /// Bound on the drift between two steady clocks, as a share; twice the protocol's 0.05%.
 pub const DRIFT: f64 = 0.001;
 /// Time to live of the leader's lease: several renewals may be lost before a takeover, and a
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -44,8 +44,7 @@
     fn now(&self) -> Now {
         let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Now {
-            // Starts above 0, which slices use for "never".
-            mono: Mono(self.start.elapsed().as_millis() as u64 + 1),
+            mono: Mono(CLOCK_START_MS.0 + self.start.elapsed().as_millis() as u64),
             wall_ms: wall.as_millis() as u64,
         }
     }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -320,6 +320,11 @@
         let Some(flavor) = fleet.flavor(&m.flavor) else {
             continue;
         };
+        // Guards against waiting for a machine that never comes up while others could be hired.
+        let overdue = now.since(m.born).secs() > flavor.boot_s * BOOT_SPREAD;
+        if !live && overdue {
+            continue;
+        }
         slots.push(Slot {
             host: Some(m.id.clone()),
             live,
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -860,11 +860,31 @@
             self.planned
         );
         let plan = self.place(settings, desk, now);
+        if log::log_enabled!(log::Level::Debug) {
+            self.log_fleet(&plan);
+        }
         self.return_idle(&plan, ops, desk, now);
         self.consolidate(&plan, settings, desk, now);
         self.hire(plan, rented, bounds.max, desk);
     }
 
+    /// One line on where the rented room is.
+    fn log_fleet(&self, plan: &Plan) {
+        let mut lives: BTreeMap<String, (u32, f64, f64)> = BTreeMap::new();
+        for m in self.fleet.machines.values() {
+            let room = self.fleet.free_room(m);
+            let kind = if m.spot { "spot" } else { "ordinary" };
+            let entry = lives.entry(format!("{:?} {kind}", m.life)).or_default();
+            *entry = (entry.0 + 1, entry.1 + room.cpus, entry.2 + room.gpus);
+        }
+        let expected: u32 = self.expected.iter().map(|(_, n)| n).sum();
+        log::debug!(
+            "fleet: machines, free cores and GPUs {lives:?}; ready for {expected} on {}; wished {}",
+            plan.ready.len(),
+            plan.hires.len()
+        );
+    }
+
     /// Hires what the pass wished for: services, gangs and guarantees under the floor, arrays as
     /// far as the loop has grown.
     fn hire(&mut self, plan: Plan, rented: f64, most: f64, desk: &mut CloudDesk) {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -8,6 +8,7 @@
 use checker::{Checker, Place};
 use oatloom::api::{HttpReply, Request, Submission};
 use oatloom::cloud::{CloudOp, CloudReply};
+use oatloom::constants::CLOCK_START_MS;
 use oatloom::controller::{Action, ConnId, Controller, Event};
 use oatloom::mesh::Question;
 use oatloom::settings::{Operators, Settings};
@@ -316,7 +317,7 @@
     fn clock(&self, node: usize) -> Now {
         let n = &self.nodes[node];
         let steady = (self.now - n.started) as f64 * (1.0 + n.drift);
-        Now { mono: Mono(steady as u64 + 1), wall_ms: 1_000_000 + self.now }
+        Now { mono: Mono(CLOCK_START_MS.0 + steady as u64), wall_ms: 1_000_000 + self.now }
     }
 
     fn event(&mut self, node: usize, event: Event) {
