Controllers pass on reports of workers that cannot reach the leader

Cause: when two zones could not reach each other, the machines of one were silent to a leader in the other although the third zone reached both; a new leader took them for booting. A controller now relays for a worker that comes back soon after it was sent to the leader.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -102,6 +102,10 @@
 pub const SILENT_REPORTS: f64 = 4.5;
 /// A worker may need this long to find a new leader: a time-out, then a try per second.
 pub const REDIRECT_S: f64 = 8.0;
+/// A worker that comes back this soon after it was sent to the leader could not reach it.
+pub const COME_BACK_MS: Millis = Millis(12_000);
+/// How long such a worker's reports are passed on before it is sent to the leader again.
+pub const RELAY_MS: Millis = Millis(15_000);
 /// Failures of different jobs that make a machine faulty.
 pub const FAULTY_ERRORS: usize = 2;
 /// A job that failed on this many machines is taken to be at fault itself.
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -86,6 +86,14 @@
     Resolving(Vec<Item>),
 }
 
+/// A worker that was sent on to the leader.
+#[derive(Debug)]
+struct Relay {
+    /// Since when its reports are passed on, if they are.
+    since: Option<Mono>,
+    until: Mono,
+}
+
 pub struct Controller {
     settings: Settings,
     ops: Operators,
@@ -100,6 +108,8 @@
     open: BTreeMap<ConnId, Mono>,
     waiting_end: HashMap<JobId, Vec<ConnId>>,
     asks: HashMap<u64, (ConnId, Question, Mono)>,
+    /// Workers sent on to the leader lately, and those whose reports are passed on.
+    sent_on: HashMap<HostId, Relay>,
     cloud_ops: HashMap<u64, (CloudOp, Token)>,
     next_id: u64,
     writer: Writer,
@@ -125,6 +135,7 @@
             open: BTreeMap::new(),
             waiting_end: HashMap::new(),
             asks: HashMap::new(),
+            sent_on: HashMap::new(),
             cloud_ops: HashMap::new(),
             next_id: 0,
             writer: Writer::Idle,
@@ -531,8 +542,9 @@
                 self.reply(conn, reply);
             }
             Request::Report(report) => {
-                let reply = self.on_report(now.mono, &report);
-                self.reply(conn, reply);
+                if let Some(reply) = self.on_report(now.mono, conn, &report, forwarded) {
+                    self.reply(conn, reply);
+                }
             }
             _ if self.open.len() > USER_INFLIGHT => {
                 self.reply(conn, HttpReply::later("too many requests at once"));
@@ -553,22 +565,64 @@
         }
     }
 
-    fn on_report(&mut self, now: Mono, report: &Report) -> HttpReply {
+    /// Answers a report, or passes it on to a leader that its worker cannot reach.
+    fn on_report(
+        &mut self,
+        now: Mono,
+        conn: ConnId,
+        report: &Report,
+        forwarded: bool,
+    ) -> Option<HttpReply> {
         let token = self.leadership.valid(now);
         if let (Some(token), Some(reign)) = (token, self.reign.as_mut()) {
             if report.token > token {
                 self.leadership.outranked(report.token);
             } else if let Some(answer) = reign.on_report(report, now) {
-                return HttpReply::json(200, &answer);
+                return Some(HttpReply::json(200, &answer));
             }
-            return HttpReply::error(503, "not now");
+            return Some(HttpReply::error(503, "not now"));
         }
-        match self.leadership.other_leader() {
-            Some(leader) => HttpReply::json(421, &Redirect { leader: Some(leader.clone()) }),
-            None => HttpReply::error(503, "no leader is known"),
+        let leader = self.leadership.other_leader().filter(|_| !forwarded).cloned();
+        let Some(leader) = leader else {
+            return Some(HttpReply::error(503, "no leader is known"));
+        };
+        if self.relays(&report.host, now) {
+            self.ask(now, conn, leader, Question::Report(Box::new(report.clone())));
+            return None;
+        }
+        Some(HttpReply::json(421, &Redirect { leader: Some(leader) }))
+    }
+
+    /// Whether a worker's reports are to be passed on. Guards against a cut between the leader's
+    /// zone and the worker's, which a third zone can bridge: a worker that comes back soon after
+    /// it was sent to the leader could not reach it.
+    fn relays(&mut self, host: &HostId, now: Mono) -> bool {
+        self.sent_on.retain(|_, relay| now < relay.until);
+        match self.sent_on.get_mut(host) {
+            Some(relay) if relay.since.is_some_and(|since| now.since(since) >= RELAY_MS) => {
+                *relay = Relay { since: None, until: now.plus(COME_BACK_MS) };
+                false
+            }
+            Some(relay) => {
+                relay.since.get_or_insert(now);
+                relay.until = now.plus(COME_BACK_MS);
+                true
+            }
+            None => {
+                let relay = Relay { since: None, until: now.plus(COME_BACK_MS) };
+                self.sent_on.insert(host.clone(), relay);
+                false
+            }
         }
     }
 
+    fn ask(&mut self, now: Mono, conn: ConnId, to: Member, question: Question) {
+        self.next_id += 1;
+        let until = now.plus(ASK_TIMEOUT_MS);
+        self.asks.insert(self.next_id, (conn, question.clone(), until));
+        self.out.push(Action::Ask { to, id: self.next_id, question });
+    }
+
     /// What this controller may say of a job without asking anyone.
     fn known(&self, now: Mono, id: &JobId) -> Option<JobView> {
         if let Some(record) = self.over.get(id) {
@@ -671,7 +725,7 @@
     }
 
     fn on_question(&mut self, now: Now, conn: ConnId, question: Question, forwarded: bool) {
-        let (Question::View(id) | Question::Abort(id)) = &question;
+        let (Question::View(id) | Question::Abort(id)) = &question else { return };
         if let Some(record) = self.over.get(id) {
             let reply = HttpReply::json(200, &record.view(id));
             return self.reply(conn, reply);
@@ -685,11 +739,7 @@
             && self.leadership.token().is_none()
             && let Some(leader) = self.leadership.other_leader().cloned()
         {
-            self.next_id += 1;
-            let until = now.mono.plus(ASK_TIMEOUT_MS);
-            self.asks.insert(self.next_id, (conn, question.clone(), until));
-            self.out.push(Action::Ask { to: leader, id: self.next_id, question });
-            return;
+            return self.ask(now.mono, conn, leader, question);
         }
         if forwarded {
             // The asking peer reads the store itself.
@@ -702,6 +752,7 @@
         match question {
             Question::View(id) => self.lookup(now, conn, id, Why::View),
             Question::Abort(id) => self.lookup(now, conn, id, Why::Abort),
+            Question::Report(_) => self.reply(conn, HttpReply::error(503, "no leader answers")),
         }
     }
 
@@ -721,6 +772,7 @@
             return;
         };
         match question {
+            Question::Report(_) => {}
             Question::View(id) => match (reign.book.view(&id), reign.book.get(&id)) {
                 (Some(view), _) => self.reply(conn, HttpReply::json(200, &view)),
                 (None, Some(job)) if job.state != JobState::Over => {
--- a/src/edge/mesh_io.rs
+++ b/src/edge/mesh_io.rs
@@ -70,6 +70,7 @@
         let request = match question {
             mesh::Question::View(job) => Request::View(job),
             mesh::Question::Abort(job) => Request::Abort(job),
+            mesh::Question::Report(report) => Request::Report(report),
         };
         let answerer = Answerer { id, stream: answers.clone() };
         let asked = Input::Mesh(Question { request, answerer });
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -1,7 +1,9 @@
-//! What controllers say to each other: a question about a job for the leader, and its answer.
+//! What controllers say to each other: a question about a job or a worker's report for the leader,
+//! and its answer.
 
 use crate::api::HttpReply;
 use crate::types::JobId;
+use crate::wire::Report;
 use serde::{Deserialize, Serialize};
 use std::io::{Read, Write};
 
@@ -9,6 +11,8 @@
 pub enum Question {
     View(JobId),
     Abort(JobId),
+    /// A worker's report that could not reach the leader directly.
+    Report(Box<Report>),
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -340,6 +340,7 @@
                     let request = match question {
                         Question::View(job) => Request::View(job),
                         Question::Abort(job) => Request::Abort(job),
+                        Question::Report(report) => Request::Report(report),
                     };
                     let from = From::Peer { node, life, ask: id };
                     let delay = self.delay();
