--- a/src/constants.rs
+++ b/src/constants.rs
@@ -100,6 +100,8 @@
 pub const MAX_ORDERS: usize = 300;
 /// Missed reports (in report periods) after which a machine is taken for lost and released.
 pub const SILENT_REPORTS: f64 = 4.5;
+/// The same for a machine of which the cloud had given notice: it is gone most likely.
+pub const TAKEN_REPORTS: f64 = 1.7;
 /// A worker may need this long to find a new leader: a time-out, then a try per second.
 pub const REDIRECT_S: f64 = 8.0;
 /// A worker that comes back this soon after it was sent to the leader could not reach it.
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -635,6 +635,7 @@
     ) {
         let facts = &settings.facts.workers;
         let silent_after = Millis::from_secs(facts.report_s * ops.silent_reports);
+        let taken_after = Millis::from_secs(facts.report_s * TAKEN_REPORTS);
         let found_by = self.heard_from.plus(Millis::from_secs(REDIRECT_S));
         let silence = |m: &Machine| {
             let from = m.last_report.unwrap_or(m.born).max(found_by.min(now));
@@ -671,7 +672,9 @@
                 }
                 continue;
             }
-            let silent = silence(m) > silent_after && now > found_by.plus(silent_after);
+            // A machine that was to be taken and has fallen silent needs no patience.
+            let taken = m.taken_at.is_some() && silence(m) > taken_after && now > found_by;
+            let silent = taken || silence(m) > silent_after && now > found_by.plus(silent_after);
             if silent && matches!(m.life, Life::Live | Life::Closing) {
                 m.enter(Life::Silent, "no reports");
             }
@@ -711,9 +714,15 @@
                 let Some(hold) = job.hold(task.index) else {
                     continue;
                 };
-                // Before the cloud takes a machine, work that cannot be saved runs on: it may
-                // still be done in time, and is lost no sooner.
-                let hopeless = m.taken_at.is_some() && spec.checkpoint_s <= 0.0;
+                // Before the cloud takes a machine, work that cannot be saved runs on if it may be
+                // done in time; else it starts again elsewhere at once.
+                let ran_s = hold.running_since.map_or(0.0, |t| now.since(t).secs());
+                let to_go_s = spec.estimate_s - ran_s;
+                let hopeless = m.taken_at.is_some_and(|at| {
+                    spec.checkpoint_s <= 0.0
+                        && spec.shape != Shape::Service
+                        && to_go_s < at.since(now).secs()
+                });
                 if hold.stop.is_none() && !(hopeless && hold.run != RunSent::No) {
                     stops.push((task.clone(), spec.save_s));
                 }
