--- a/src/constants.rs
+++ b/src/constants.rs
@@ -94,6 +94,9 @@
 /// A node whose store calls all failed for this long says so at `/up` if a peer is better off.
 pub const UP_STORE_SILENCE_MS: Millis = Millis(6_000);
 
+/// How fresh a leader's answer must be to show that only this node is refused.
+pub const UP_TOLD_MS: Millis = Millis(2_000);
+
 // --- Workers ----------------------------------------------------------------
 
 /// Orders in one answer: far below a line of 64 KiB.
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -117,6 +117,8 @@
     watch_live: Option<Revision>,
     watch_out: bool,
     was_valid: bool,
+    /// When a leader last answered a question of this node.
+    last_told: Mono,
     out: Vec<Action>,
 }
 
@@ -143,6 +145,7 @@
             watch_live: None,
             watch_out: false,
             was_valid: false,
+            last_told: Mono(0),
             out: Vec::new(),
         }
     }
@@ -558,8 +561,13 @@
     fn up(&self, now: Mono) -> HttpReply {
         let reached = self.store.last_good() > Mono(0);
         let mute = now.since(self.store.last_good()) > UP_STORE_SILENCE_MS;
+        // Every node is refused in an outage, and then none is better than another. A leader that
+        // still answers after so long shows that this node alone is refused.
+        let alone = mute && now.since(self.last_told) < UP_TOLD_MS;
         if self.catalog().is_none() || !reached {
             HttpReply::later("starting")
+        } else if alone {
+            HttpReply::later("the state service refuses this node")
         } else {
             HttpReply::json(200, &serde_json::json!({ "up": true, "store": !mute }))
         }
@@ -761,7 +769,10 @@
             return;
         };
         match reply {
-            Some(reply) if reply.status != 503 => self.reply(conn, reply),
+            Some(reply) if reply.status != 503 => {
+                self.last_told = now.mono;
+                self.reply(conn, reply);
+            }
             _ => self.look(now.mono, conn, question),
         }
     }
