--- a/src/api.rs
+++ b/src/api.rs
@@ -1,6 +1,7 @@
 //! The HTTP face: requests parsed before the core sees them, and answers as the core gives them.
 
 use crate::constants::*;
+use crate::mesh::Notes;
 use crate::types::JobId;
 use crate::wire::{JobSpec, Report};
 use serde::{Deserialize, Serialize};
@@ -47,6 +48,8 @@
     Abort(JobId),
     Up,
     Report(Box<Report>),
+    /// From the leader, over the mesh only.
+    Notes(Box<Notes>),
 }
 
 fn submission(body: &[u8]) -> Submission {
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -94,6 +94,10 @@
 /// A node whose store calls all failed for this long says so at `/up` if a peer is better off.
 pub const UP_STORE_SILENCE_MS: Millis = Millis(6_000);
 
+/// Period of the leader's notes to its peers.
+pub const NOTES_EVERY_MS: Millis = Millis(3_000);
+/// Notes older than this are of no use to a new leader.
+pub const NOTES_OLD_MS: Millis = Millis(60_000);
 /// How fresh a leader's answer must be to show that only this node is refused.
 pub const UP_TOLD_MS: Millis = Millis(2_000);
 
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -6,7 +6,7 @@
 use crate::constants::*;
 use crate::jobs::{self, Item, JobState, LiveRecord, OverCache, OverRecord, Written};
 use crate::leadership::{Ask, LEAD_KEY, Leadership, Turn};
-use crate::mesh::Question;
+use crate::mesh::{Notes, Question};
 use crate::placement;
 use crate::reign::{Reign, Stage};
 use crate::settings::{Operators, Settings};
@@ -117,6 +117,9 @@
     watch_live: Option<Revision>,
     watch_out: bool,
     was_valid: bool,
+    /// The last notes of a leader, and when they came.
+    notes: Option<(Mono, Notes)>,
+    next_notes: Mono,
     /// When a leader last answered a question of this node.
     last_told: Mono,
     out: Vec<Action>,
@@ -145,6 +148,8 @@
             watch_live: None,
             watch_out: false,
             was_valid: false,
+            notes: None,
+            next_notes: Mono(0),
             last_told: Mono(0),
             out: Vec::new(),
         }
@@ -192,6 +197,7 @@
             }
         }
         self.was_valid = valid;
+        self.pass_notes(mono);
         self.write(mono);
         self.watch(mono);
         for op in self.desk.tick(mono, valid, self.catalog().is_some()) {
@@ -206,6 +212,22 @@
         self.send(sends);
     }
 
+    /// Tells the other controllers what they would miss as leader; no answer is waited for.
+    fn pass_notes(&mut self, now: Mono) {
+        let Some(reign) = self.reign.as_ref().filter(|r| r.stage == Stage::Ruling) else { return };
+        if !self.was_valid || now < self.next_notes {
+            return;
+        }
+        self.next_notes = now.plus(NOTES_EVERY_MS);
+        let notes = reign.notes(now);
+        for peer in &self.settings.peers {
+            self.next_id += 1;
+            let question = Question::Notes(Box::new(notes.clone()));
+            let to = peer.member.clone();
+            self.out.push(Action::Ask { to, id: self.next_id, question });
+        }
+    }
+
     fn catalog(&self) -> Option<&crate::wire::Catalog> {
         match &self.reign {
             Some(reign) => reign.fleet.catalog.as_ref(),
@@ -350,6 +372,10 @@
             reign.enter(Stage::LoadingAssigned);
             self.load(now.mono, jobs::ASSIGNED, String::new(), None);
         } else {
+            let fresh = |noted: &Mono| now.mono.since(*noted) < NOTES_OLD_MS;
+            if let Some((noted, notes)) = self.notes.take().filter(|(noted, _)| fresh(noted)) {
+                reign.recall(notes, noted);
+            }
             reign.enter(Stage::Ruling);
         }
     }
@@ -549,6 +575,10 @@
                     self.reply(conn, reply);
                 }
             }
+            Request::Notes(notes) => {
+                self.notes = Some((now.mono, *notes));
+                self.reply(conn, HttpReply::json(200, &serde_json::json!({})));
+            }
             _ if self.open.len() > USER_INFLIGHT => {
                 self.reply(conn, HttpReply::later("too many requests at once"));
             }
@@ -760,6 +790,7 @@
         match question {
             Question::View(id) => self.lookup(now, conn, id, Why::View),
             Question::Abort(id) => self.lookup(now, conn, id, Why::Abort),
+            Question::Notes(_) => {}
             Question::Report(_) => self.reply(conn, HttpReply::error(503, "no leader answers")),
         }
     }
@@ -783,7 +814,7 @@
             return;
         };
         match question {
-            Question::Report(_) => {}
+            Question::Report(_) | Question::Notes(_) => {}
             Question::View(id) => match (reign.book.view(&id), reign.book.get(&id)) {
                 (Some(view), _) => self.reply(conn, HttpReply::json(200, &view)),
                 (None, Some(job)) if job.state != JobState::Over => {
--- a/src/edge/mesh_io.rs
+++ b/src/edge/mesh_io.rs
@@ -71,6 +71,7 @@
             mesh::Question::View(job) => Request::View(job),
             mesh::Question::Abort(job) => Request::Abort(job),
             mesh::Question::Report(report) => Request::Report(report),
+            mesh::Question::Notes(notes) => Request::Notes(notes),
         };
         let answerer = Answerer { id, stream: answers.clone() };
         let asked = Input::Mesh(Question { request, answerer });
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -2,8 +2,8 @@
 //! and its answer.
 
 use crate::api::HttpReply;
-use crate::types::JobId;
-use crate::wire::Report;
+use crate::types::{HostId, JobId, Token};
+use crate::wire::{JobSpec, Report};
 use serde::{Deserialize, Serialize};
 use std::io::{Read, Write};
 
@@ -13,6 +13,20 @@
     Abort(JobId),
     /// A worker's report that could not reach the leader directly.
     Report(Box<Report>),
+    /// Not a question: what the leader has learnt and the next one would miss.
+    Notes(Box<Notes>),
+}
+
+/// What a leader knows beyond the store. Losing it costs time, never a rule.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Notes {
+    pub token: Token,
+    /// Images that machines have, with their sizes.
+    pub images: Vec<(HostId, Vec<(String, f64)>)>,
+    /// By how much each class's run times are misjudged.
+    pub shown: Vec<(String, f64)>,
+    /// For each class its latest job, and how long ago (ms) its jobs came.
+    pub arrivals: Vec<(JobSpec, Vec<u64>)>,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -5,15 +5,17 @@
 use crate::cloud::{CloudDesk, Kind};
 use crate::constants::*;
 use crate::jobs::*;
+use crate::mesh::Notes;
 use crate::placement::{self, Inputs, Plan};
 use crate::scaling::{self, Bounds, Demand};
 use crate::settings::{Operators, Settings};
 use crate::types::*;
 use crate::wire::{
-    Cause, JobStatus, Listed, MachineStatus, Order, Report, ReportAnswer, Shape, TaskPhase,
+    Cause, JobSpec, JobStatus, Listed, MachineStatus, Order, Report, ReportAnswer, Shape, TaskPhase,
 };
-use crate::workers::{Fleet, Freshness, Life, Machine, Room};
+use crate::workers::{Fleet, Freshness, Image, Life, Machine, Room};
 use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 
 /// Where a new leader stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,6 +59,8 @@
     planned: f64,
     paced: HashMap<JobId, u32>,
     shown: HashMap<String, ClassBias>,
+    /// Images that an earlier leader knew to be on machines that have not reported yet.
+    recalled: HashMap<HostId, Vec<Image>>,
     last_move: Mono,
     expected: Vec<(Job, u32)>,
     place_dirty: bool,
@@ -79,6 +83,7 @@
             planned: 0.0,
             paced: HashMap::new(),
             shown: HashMap::new(),
+            recalled: HashMap::new(),
             last_move: Mono(0),
             expected: Vec::new(),
             place_dirty: true,
@@ -100,6 +105,53 @@
         self.place_dirty = true;
     }
 
+    /// What the next leader would have to learn anew.
+    pub fn notes(&self, now: Mono) -> Notes {
+        let images = self
+            .fleet
+            .machines
+            .values()
+            .filter(|m| m.images.iter().any(|i| i.ready))
+            .map(|m| {
+                let ready = m.images.iter().filter(|i| i.ready);
+                (m.id.clone(), ready.map(|i| (i.name.clone(), i.gb)).collect())
+            })
+            .collect();
+        let mut arrivals: BTreeMap<&str, (JobSpec, Vec<u64>)> = BTreeMap::new();
+        for (at, spec) in &self.book.arrivals {
+            let entry =
+                arrivals.entry(&spec.class).or_insert_with(|| ((**spec).clone(), Vec::new()));
+            entry.1.push(now.since(*at).0);
+        }
+        Notes {
+            token: self.token,
+            images,
+            shown: self.shown.iter().map(|(class, bias)| (class.clone(), bias.factor())).collect(),
+            arrivals: arrivals.into_values().collect(),
+        }
+    }
+
+    /// Takes up what an earlier leader noted at `noted`.
+    pub fn recall(&mut self, notes: Notes, noted: Mono) {
+        for (host, images) in notes.images {
+            let ready = |(name, gb)| Image { name, gb, ready: true };
+            self.recalled.insert(host, images.into_iter().map(ready).collect());
+        }
+        for (class, factor) in notes.shown {
+            self.shown.insert(class, ClassBias(factor));
+        }
+        // Of the jobs that came before the notes, the book knows only those still open.
+        let mut arrivals: Vec<(Mono, Arc<JobSpec>)> =
+            self.book.arrivals.drain(..).filter(|(at, _)| *at > noted).collect();
+        for (spec, ages) in notes.arrivals {
+            let spec = Arc::new(spec);
+            let at = |age: u64| Mono(noted.0.saturating_sub(age));
+            arrivals.extend(ages.into_iter().map(|age| (at(age), spec.clone())));
+        }
+        arrivals.sort_by_key(|(at, _)| *at);
+        self.book.arrivals.extend(arrivals);
+    }
+
     pub fn wake(&mut self) {
         self.place_dirty = true;
     }
@@ -217,6 +269,11 @@
         if fresh == Freshness::Stale {
             return None;
         }
+        if let Some(images) = self.recalled.remove(&report.host)
+            && let Some(machine) = self.fleet.machines.get_mut(&report.host)
+        {
+            machine.recall(images);
+        }
         let mut orders = Vec::new();
         if self.stage == Stage::Ruling {
             self.end_old_shift(report, now);
@@ -735,7 +792,7 @@
 
     /// Cores of a machine that a task stands for: by what binds first, so that a task that takes a
     /// quarter of the GPUs counts as a quarter of the cores.
-    fn core_equivalents(&self, spec: &crate::wire::JobSpec) -> f64 {
+    fn core_equivalents(&self, spec: &JobSpec) -> f64 {
         let need = Room::from(spec);
         self.fleet
             .catalog
@@ -773,7 +830,7 @@
     }
 
     /// What passes around a task's run: reports before and after it, and the image's fetch.
-    fn overhead_s(&self, settings: &Settings, spec: &crate::wire::JobSpec) -> f64 {
+    fn overhead_s(&self, settings: &Settings, spec: &JobSpec) -> f64 {
         let fetch = self
             .fleet
             .catalog
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -160,6 +160,14 @@
         }
     }
 
+    /// Takes up what an earlier leader knew to be there.
+    pub fn recall(&mut self, images: Vec<Image>) {
+        for image in images {
+            self.images.retain(|i| i.name != image.name);
+            self.images.push(image);
+        }
+    }
+
     pub fn has_image(&self, image: &str) -> bool {
         self.images.iter().any(|i| i.name == image && i.ready)
     }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -11,7 +11,7 @@
 use oatloom::constants::CLOCK_START_MS;
 use oatloom::controller::{Action, ConnId, Controller, Event};
 use oatloom::mesh::Question;
-use oatloom::settings::{Operators, Settings};
+use oatloom::settings::{Operators, Peer, Settings};
 use oatloom::store::{Lane, OpId, StoreOp, StoreReply};
 use oatloom::types::{HostId, JobId, Member, Mono, Now, Revision, Zone};
 use oatloom::wire::{
@@ -155,7 +155,10 @@
 
 fn settings(node: usize) -> Settings {
     let mut settings = Settings::parse(SETTINGS).expect("sound settings");
-    settings.member = Member::new(&format!("n-{node}"));
+    let member = |n: usize| Member::new(&format!("n-{n}"));
+    settings.member = member(node);
+    let peer = |n| Peer { member: member(n), zone: Zone::new(ZONES[n]), addr: String::new() };
+    settings.peers = (0..3).filter(|n| *n != node).map(peer).collect();
     settings
 }
 
@@ -341,6 +344,7 @@
                         Question::View(job) => Request::View(job),
                         Question::Abort(job) => Request::Abort(job),
                         Question::Report(report) => Request::Report(report),
+                        Question::Notes(notes) => Request::Notes(notes),
                     };
                     let from = From::Peer { node, life, ask: id };
                     let delay = self.delay();
