Give a silent machine up after 3.5 report periods instead of 4.5

Cause: replicas of a machine that died were down for the patience, a report and a fetch. A worker whose answer was lost is back within about 9.5 s (time-out, next node, redirect), so 10.5 s suffice. Machines that lose the network for longer than that are returned, as before.

--- a/deploy/operators.sample.lisp
+++ b/deploy/operators.sample.lisp
@@ -3,5 +3,5 @@
  (tick-ms . 500)           ; period of the control loop, 100 to 60000 ms
  (beta . 0.9)              ; factor of the multiplicative decrease, above 0 and below 1
  (max-cores . 0.0)         ; most cores rented at once (Nmax); 0: what the cloud gives
- (silent-reports . 4.5)    ; missed report periods after which a machine is returned, 2 to 1000
+ (silent-reports . 3.5)    ; missed report periods after which a machine is returned, 2 to 1000
  (idle-keep-ms . 20000))   ; how long an idle machine is kept, ms
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -106,7 +106,7 @@
 /// Orders in one answer: far below a line of 64 KiB.
 pub const MAX_ORDERS: usize = 300;
 /// Missed reports (in report periods) after which a machine is taken for lost and released.
-pub const SILENT_REPORTS: f64 = 4.5;
+pub const SILENT_REPORTS: f64 = 3.5;
 /// The same for a machine of which the cloud had given notice: it is gone most likely.
 pub const TAKEN_REPORTS: f64 = 1.7;
 /// A worker may need this long to find a new leader: a time-out, then a try per second.
