Relay at once for workers that obeyed this leader; look for cuts sooner

A worker that carries the leader's token is now relayed at first contact; a node that cannot reach the leader either names the third; silence counts sooner where a cut is looked for.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -107,6 +107,8 @@
 pub const MAX_ORDERS: usize = 300;
 /// Missed reports (in report periods) after which a machine is taken for lost and released.
 pub const SILENT_REPORTS: f64 = 3.5;
+/// Share of that patience after which a machine counts as silent when a cut is looked for.
+pub const EARLY_SILENCE: f64 = 0.6;
 /// The same for a machine of which the cloud had given notice: it is gone most likely.
 pub const TAKEN_REPORTS: f64 = 1.7;
 /// A worker may need this long to find a new leader: a time-out, then a try per second.
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -624,7 +624,9 @@
         let Some(leader) = leader else {
             return Some(HttpReply::error(503, "no leader is known"));
         };
-        if self.relays(&report.host, now) {
+        // One that has obeyed this very leader before would still be there if it could.
+        let obeyed = self.leadership.leader_token() == Some(report.token);
+        if self.relays(&report.host, obeyed, now) {
             self.ask(now, conn, leader, Question::Report(Box::new(report.clone())));
             return None;
         }
@@ -634,7 +636,7 @@
     /// Whether a worker's reports are to be passed on. Guards against a cut between the leader's
     /// zone and the worker's, which a third zone can bridge: a worker that comes back soon after
     /// it was sent to the leader could not reach it.
-    fn relays(&mut self, host: &HostId, now: Mono) -> bool {
+    fn relays(&mut self, host: &HostId, obeyed: bool, now: Mono) -> bool {
         self.sent_on.retain(|_, relay| now < relay.until);
         match self.sent_on.get_mut(host) {
             Some(relay) if relay.since.is_some_and(|since| now.since(since) >= RELAY_MS) => {
@@ -647,9 +649,10 @@
                 true
             }
             None => {
-                let relay = Relay { since: None, until: now.plus(COME_BACK_MS) };
+                let since = obeyed.then_some(now);
+                let relay = Relay { since, until: now.plus(COME_BACK_MS) };
                 self.sent_on.insert(host.clone(), relay);
-                false
+                obeyed
             }
         }
     }
@@ -791,7 +794,18 @@
             Question::View(id) => self.lookup(now, conn, id, Why::View),
             Question::Abort(id) => self.lookup(now, conn, id, Why::Abort),
             Question::Notes(_) => {}
-            Question::Report(_) => self.reply(conn, HttpReply::error(503, "no leader answers")),
+            Question::Report(_) => {
+                // This node cannot reach the leader either; a third one may.
+                let leader = self.leadership.other_leader();
+                let third = self.settings.peers.iter().find(|p| Some(&p.member) != leader);
+                let reply = match (leader, third) {
+                    (Some(_), Some(peer)) => {
+                        HttpReply::json(421, &Redirect { leader: Some(peer.member.clone()) })
+                    }
+                    _ => HttpReply::error(503, "no leader answers"),
+                };
+                self.reply(conn, reply);
+            }
         }
     }
 
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -110,6 +110,11 @@
         self.leader.as_ref().map(|(member, _)| member).filter(|member| **member != self.me)
     }
 
+    /// Token of the leader, whoever it is.
+    pub fn leader_token(&self) -> Option<Token> {
+        self.leader.as_ref().map(|(_, token)| *token)
+    }
+
     /// The one place where the role changes.
     fn enter(&mut self, role: Role, why: &str) {
         let was_leader = matches!(self.role, Role::Leader { .. });
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -692,6 +692,7 @@
     ) {
         let facts = &settings.facts.workers;
         let silent_after = Millis::from_secs(facts.report_s * ops.silent_reports);
+        let early = Millis::from_secs(silent_after.secs() * EARLY_SILENCE);
         let taken_after = Millis::from_secs(facts.report_s * TAKEN_REPORTS);
         let found_by = self.heard_from.plus(Millis::from_secs(REDIRECT_S));
         let silence = |m: &Machine| {
@@ -703,7 +704,8 @@
             if m.last_report.is_some() && m.life != Life::Releasing {
                 let (all, silent) = zones.entry(m.zone.clone()).or_default();
                 *all += 1;
-                *silent += u32::from(silence(m) > silent_after);
+                // Those cut off together fall silent within a report period of each other.
+                *silent += u32::from(silence(m) > early);
             }
         }
         let mut expired = Vec::new();
