Remove what nothing reads: a report's type, a tally, an argument

No change of behaviour: the type and the tally were written or declared but never read, and a count of wanting tasks only ever told whether there were any.

--- a/src/placement.rs
+++ b/src/placement.rs
@@ -499,7 +499,7 @@
         let need = Need { job, room: Room::from(&*job.spec) };
         let most = self.within_limit(job) as usize;
         let mut zones = self.zones_with_starts(job);
-        let mut wanting = 0;
+        let mut wanting = false;
         for index in tasks.iter().take(most) {
             if let Some(at) = self.best(&need, true, &zones, None) {
                 self.take(at, &need, &mut zones);
@@ -512,14 +512,14 @@
             if !hire {
                 break;
             }
-            wanting += 1;
+            wanting = true;
             let urgent = job.spec.shape != Shape::Array || owed || self.starved(&need);
             if !self.count_on_new(&need, &mut zones, None, urgent) {
                 break;
             }
         }
-        if wanting > 0 && hire {
-            self.make_room(&need, book, owed, wanting);
+        if wanting {
+            self.make_room(&need, book, owed);
         }
     }
 
@@ -660,7 +660,7 @@
             (self.slots, self.usage) = (before.0, before.1);
             self.plan.hires.truncate(before.2);
         }
-        self.make_room(&need, book, false, job.spec.tasks);
+        self.make_room(&need, book, false);
     }
 
     fn gang_places(
@@ -701,7 +701,7 @@
 
     /// Stops tasks of lower rank, or of teams beyond their guarantee for one that is owed its
     /// own, on the machine where least work is lost. One machine per pass and job.
-    fn make_room(&mut self, need: &Need, book: &Book, owed: bool, _wanting: u32) {
+    fn make_room(&mut self, need: &Need, book: &Book, owed: bool) {
         let job = need.job;
         if self.can_wait(job) {
             return;
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -282,7 +282,6 @@
         }
         let machine = self.fleet.machines.get_mut(&report.host)?;
         machine.last_answer = Some(now);
-        machine.answered_tally = report.tally;
         Some(ReportAnswer { token: self.token, orders })
     }
 
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -2,7 +2,7 @@
 
 use crate::constants::*;
 use crate::types::*;
-use crate::wire::{Catalog, Flavor, Report, TaskPhase};
+use crate::wire::{Catalog, Flavor, Report};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Amounts of a machine or a task.
@@ -73,14 +73,6 @@
     Releasing,
 }
 
-/// A task as last reported.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Seen {
-    pub attempt: Attempt,
-    pub phase: TaskPhase,
-    pub need: Room,
-}
-
 /// An image on a machine, or on its way there.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Image {
@@ -101,8 +93,6 @@
     pub born: Mono,
     pub shift: Shift,
     pub tally: Tally,
-    /// Tally of the last report answered with 200.
-    pub answered_tally: Tally,
     pub last_report: Option<Mono>,
     /// When a report was last answered with 200 by this leader.
     pub last_answer: Option<Mono>,
@@ -240,7 +230,6 @@
                 born,
                 shift: Shift(0),
                 tally: Tally(0),
-                answered_tally: Tally(0),
                 last_report: None,
                 last_answer: None,
                 held: BTreeMap::new(),
