Placement looks at every machine once per job, and less often when that costs more

Change: placement::slots keeps the pass's room. A job looks at the slots once and takes its places from a heap; a gang that does not fit is rolled back from a log, not a copy; what found no room is remembered for the pass, so that further jobs as large are not searched for. Looks are counted as steps, and the next pass waits until its cost is within a share of the processor. Searches for work to stop are bounded per pass, and few machines are asked whether they could be emptied.

Ruled out: reports and the HTTP server; together under 1% of the profile.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -163,6 +163,18 @@
 pub const REOPEN_WEIGHT: f64 = 3.0;
 /// Starts decided in one pass, to bound its processor time.
 pub const PLACE_BATCH: usize = 200;
+/// Searches in one pass for work that could make room: each looks at every task on every machine.
+pub const MAKE_ROOM_MOST: usize = 8;
+/// What such a search costs per machine, in looks at a machine.
+pub const VICTIM_STEPS: u64 = 8;
+/// Processor time of one look at a machine in a placement pass, in nanoseconds, measured on a
+/// machine of 2026.
+pub const STEP_NS: f64 = 60.0;
+/// Share of this controller's processor that placement may take: reports, renewals and questions
+/// need the rest.
+pub const PLACE_SHARE: f64 = 0.3;
+/// Machines of which a tick asks whether their services would find room elsewhere.
+pub const EMPTY_TRIES: usize = 3;
 /// A machine that is being cleared for a job is kept for it this long.
 pub const RESERVE_MS: Millis = Millis(20_000);
 
--- a/src/placement.rs
+++ b/src/placement/mod.rs
@@ -2,6 +2,8 @@
 //! urgency, places what fits on live machines, counts the rest against machines on their way, and
 //! says what else should be hired and what should make room.
 
+mod slots;
+
 use crate::cloud::Kind;
 use crate::constants::*;
 use crate::jobs::{Book, Gang, Job, JobState, StopWhy, Usage};
@@ -9,6 +11,7 @@
 use crate::types::*;
 use crate::wire::{Flavor, Shape};
 use crate::workers::{Fleet, Life, Machine, Room};
+use slots::{Search, When, Yard, usable};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// What one pass decides.
@@ -22,6 +25,8 @@
     pub hires: Vec<(Kind, bool)>,
     /// Live machines whose room is kept ready for jobs that are likely to come.
     pub ready: BTreeSet<HostId>,
+    /// Machines looked at: what the pass has cost.
+    pub steps: u64,
 }
 
 pub struct Inputs<'a> {
@@ -37,24 +42,6 @@
     pub refused: &'a dyn Fn(&Kind) -> bool,
 }
 
-/// Room on a machine that is live, on its way, or only wished for.
-#[derive(Clone, Debug)]
-struct Slot {
-    host: Option<HostId>,
-    live: bool,
-    /// Being emptied: used again before another machine is hired, but only then.
-    closing: bool,
-    flavor: String,
-    zone: Zone,
-    spot: bool,
-    free: Room,
-    whole: Room,
-    reserved: Option<JobId>,
-    fetch: f64,
-    /// Images on their way there, and their sizes.
-    fetching: Vec<(String, f64)>,
-}
-
 /// What a task of a job needs and may use.
 struct Need<'a> {
     job: &'a Job,
@@ -199,8 +186,12 @@
     settings: &'a Settings,
     fleet: &'a Fleet,
     refused: &'a dyn Fn(&Kind) -> bool,
-    slots: Vec<Slot>,
+    yard: Yard<'a>,
     usage: HashMap<String, Usage>,
+    /// Where this pass has started tasks of a job: guards against an array's second turn in a pass
+    /// placing as if its first had not been.
+    started: HashMap<JobId, BTreeMap<Zone, u32>>,
+    searches: usize,
     plan: Plan,
 }
 
@@ -227,8 +218,10 @@
         settings,
         fleet,
         refused,
-        slots: slots(fleet, &awaited, now),
+        yard: Yard::new(fleet, &awaited, now),
         usage: book.usage.clone(),
+        started: HashMap::new(),
+        searches: 0,
         plan: Plan::default(),
     };
     // Arrays get what their rates allow first, then what is left idle.
@@ -275,6 +268,7 @@
     for (job, count) in expected {
         pass.keep_ready(job, *count);
     }
+    pass.plan.steps += pass.yard.steps + book.jobs.len() as u64;
     pass.plan
 }
 
@@ -305,92 +299,17 @@
     within
 }
 
-/// Whether new tasks may go to the machine.
-fn usable(m: &Machine, now: Mono) -> bool {
-    matches!(m.life, Life::Live | Life::Closing) && now >= m.paused_until
-}
-
-fn slots(fleet: &Fleet, awaited: &[(Kind, u32)], now: Mono) -> Vec<Slot> {
-    let mut slots = Vec::new();
-    for m in fleet.machines.values() {
-        let live = usable(m, now);
-        if !live && m.life != Life::Booting {
-            continue;
-        }
-        let Some(flavor) = fleet.flavor(&m.flavor) else {
-            continue;
-        };
-        // Guards against waiting for a machine that never comes up while others could be hired.
-        let overdue = now.since(m.born).secs() > flavor.boot_s * BOOT_SPREAD;
-        if !live && overdue {
-            continue;
-        }
-        slots.push(Slot {
-            host: Some(m.id.clone()),
-            live,
-            closing: m.life == Life::Closing,
-            flavor: m.flavor.clone(),
-            zone: m.zone.clone(),
-            spot: m.spot,
-            free: fleet.free_room(m),
-            whole: Room::from(flavor),
-            reserved: m
-                .reserved
-                .as_ref()
-                .filter(|(_, until)| now < *until)
-                .map(|(job, _)| job.clone()),
-            fetch: flavor.fetch_gb_per_s,
-            fetching: m.fetching(),
-        });
-    }
-    for (kind, number) in awaited {
-        let Some(flavor) = fleet.flavor(&kind.flavor) else {
-            continue;
-        };
-        for _ in 0..*number {
-            slots.push(new_slot(kind, flavor));
-        }
-    }
-    slots
-}
-
-fn new_slot(kind: &Kind, flavor: &Flavor) -> Slot {
-    Slot {
-        host: None,
-        live: false,
-        closing: false,
-        flavor: kind.flavor.clone(),
-        zone: kind.zone.clone(),
-        spot: kind.spot,
-        free: Room::from(flavor),
-        whole: Room::from(flavor),
-        reserved: None,
-        fetch: flavor.fetch_gb_per_s,
-        fetching: Vec::new(),
-    }
-}
-
 /// Whether the services on a machine would find room on other live machines that have their
 /// images; its other tasks end by themselves.
 pub fn room_elsewhere(
     now: Mono,
-    settings: &Settings,
     book: &Book,
     fleet: &Fleet,
     host: &HostId,
 ) -> bool {
     let Some(machine) = fleet.machines.get(host) else { return false };
-    let mut slots = slots(fleet, &[], now);
-    slots.retain(|s| s.host.as_ref() != Some(host) && !s.closing);
-    let mut pass = Pass {
-        now,
-        settings,
-        fleet,
-        refused: &|_| true,
-        slots,
-        usage: book.usage.clone(),
-        plan: Plan::default(),
-    };
+    let mut yard = Yard::new(fleet, &[], now);
+    yard.leave_out(|m| m.id == *host || m.life == Life::Closing);
     machine.held.keys().all(|task| {
         let Some(job) = book.get(&task.job) else { return true };
         if job.spec.shape != Shape::Service {
@@ -401,9 +320,11 @@
         if let Some(count) = zones.get_mut(&machine.zone) {
             *count = count.saturating_sub(1);
         }
-        let Some(at) = pass.best(&need, true, &zones, None) else { return false };
-        let cached = pass.cached(&pass.slots[at], &job.spec.image);
-        pass.take(at, &need, &mut zones);
+        let mask = yard.mask(&need, &zones, None);
+        let mut search = Search::default();
+        let Some(at) = yard.best(&mut search, &need, &mask, When::Live) else { return false };
+        let cached = yard.cached(at, &job.spec.image);
+        yard.take(&mut search, at, &need);
         cached
     })
 }
@@ -430,16 +351,11 @@
         if count >= f64::from(u32::MAX) { u32::MAX } else { count as u32 }
     }
 
-    /// The zones of a job's tasks, those that this pass has started included: guards against an
-    /// array's second turn in a pass placing as if its first had not been.
-    fn zones_with_starts(&self, job: &Job) -> BTreeMap<Zone, u32> {
+    /// The zones of a job's tasks, those that this pass has started included.
+    fn zones(&self, job: &Job) -> BTreeMap<Zone, u32> {
         let mut zones = job.zones.clone();
-        for (id, _, host) in &self.plan.starts {
-            if *id == job.spec.id
-                && let Some(machine) = self.fleet.machines.get(host)
-            {
-                *zones.entry(machine.zone.clone()).or_default() += 1;
-            }
+        for (zone, count) in self.started.get(&job.spec.id).into_iter().flatten() {
+            *zones.entry(zone.clone()).or_default() += count;
         }
         zones
     }
@@ -450,71 +366,34 @@
         usage.gpus += job.spec.gpus * tasks;
     }
 
-    fn cached(&self, slot: &Slot, image: &str) -> bool {
-        let machine = slot.host.as_ref().and_then(|h| self.fleet.machines.get(h));
-        machine.is_some_and(|m| m.has_image(image))
-    }
-
-    /// Lower is better: a fetch costs its time, then the tightest fit wins.
-    fn score(&self, need: &Need, slot: &Slot) -> f64 {
-        let spec = &need.job.spec;
-        let cached = self.cached(slot, &spec.image);
-        // Images fetched at the same time share the rate.
-        let known = slot.fetching.iter().any(|(name, _)| *name == spec.image);
-        let ahead: f64 = slot.fetching.iter().map(|(_, gb)| gb).sum();
-        let gb = if known { ahead } else { ahead + spec.image_gb };
-        let fetch_s = if cached || slot.fetch <= 0.0 { 0.0 } else { gb / slot.fetch };
-        let mut left = slot.free;
-        left.take(&need.room);
-        let spare = left.share_of(&slot.whole);
-        let dear = if spec.spot && !slot.spot { 0.5 } else { 0.0 };
-        let reopened = if slot.closing { REOPEN_WEIGHT } else { 0.0 };
-        fetch_s / FETCH_WEIGHT_S + spare + dear + reopened
-    }
-
-    fn best(
-        &self,
-        need: &Need,
-        live: bool,
-        zones: &BTreeMap<Zone, u32>,
-        only: Option<&Zone>,
-    ) -> Option<usize> {
-        let id = &need.job.spec.id;
-        self.slots
-            .iter()
-            .enumerate()
-            .filter(|(_, s)| s.live == live && s.free.fits(&need.room))
-            .filter(|(_, s)| s.host.as_ref().is_none_or(|h| !need.job.avoids(h)))
-            .filter(|(_, s)| s.reserved.as_ref().is_none_or(|r| r == id))
-            .filter(|(_, s)| need.allows(&s.flavor, &s.zone, s.spot))
-            .filter(|(_, s)| only.is_none_or(|z| *z == s.zone))
-            .filter(|(_, s)| need.zone_open(&s.zone, zones))
-            .map(|(i, s)| (i, self.score(need, s)))
-            .min_by(|a, b| a.1.total_cmp(&b.1))
-            .map(|(i, _)| i)
+    /// Starts a task on the live machine of a slot.
+    fn start(&mut self, job: &Job, index: u32, at: usize) {
+        let Some(machine) = self.yard.slots[at].machine else { return };
+        self.plan.starts.push((job.spec.id.clone(), index, machine.id.clone()));
+        let zones = self.started.entry(job.spec.id.clone()).or_default();
+        *zones.entry(machine.zone.clone()).or_default() += 1;
     }
 
     /// Tasks that start one by one.
     fn singles(&mut self, job: &Job, tasks: &[u32], hire: bool, book: &Book, owed: bool) {
         let need = Need { job, room: Room::from(&*job.spec) };
         let most = self.within_limit(job) as usize;
-        let mut zones = self.zones_with_starts(job);
+        let mut places = Places::new(self, &need, self.zones(job), None);
         let mut wanting = false;
+        let mut urgent = None;
         for index in tasks.iter().take(most) {
-            if let Some(at) = self.best(&need, true, &zones, None) {
-                self.take(at, &need, &mut zones);
-                let Some(host) = self.slots[at].host.clone() else {
-                    continue;
-                };
-                self.plan.starts.push((job.spec.id.clone(), *index, host));
+            if let Some(at) = places.live(self, &need) {
+                self.start(job, *index, at);
                 continue;
             }
             if !hire {
                 break;
             }
             wanting = true;
-            let urgent = job.spec.shape != Shape::Array || owed || self.starved(&need);
-            if !self.count_on_new(&need, &mut zones, None, urgent) {
+            let urgent = *urgent.get_or_insert_with(|| {
+                job.spec.shape != Shape::Array || owed || self.starved(&need)
+            });
+            if !places.later(self, &need, urgent) {
                 break;
             }
         }
@@ -528,94 +407,43 @@
     /// the wrong zone, type or kind, for which the job would wait for ever.
     fn starved(&self, need: &Need) -> bool {
         let job = need.job;
-        let usable = |s: &Slot| need.allows(&s.flavor, &s.zone, s.spot) && s.whole.fits(&need.room);
         job.held == 0
-            && (self.now.since(job.submitted).secs() > STARVED_S || !self.slots.iter().any(usable))
-    }
-
-    fn take(&mut self, at: usize, need: &Need, zones: &mut BTreeMap<Zone, u32>) {
-        let spec = &need.job.spec;
-        let cached = self.cached(&self.slots[at], &spec.image);
-        let slot = &mut self.slots[at];
-        slot.free.take(&need.room);
-        if !cached && slot.fetching.iter().all(|(name, _)| *name != spec.image) {
-            slot.fetching.push((spec.image.clone(), spec.image_gb));
-        }
-        *zones.entry(slot.zone.clone()).or_default() += 1;
-        self.count_usage(need.job, 1.0);
-    }
-
-    /// Counts a task against a machine on its way, or wishes for another one.
-    fn count_on_new(
-        &mut self,
-        need: &Need,
-        zones: &mut BTreeMap<Zone, u32>,
-        only: Option<&Zone>,
-        urgent: bool,
-    ) -> bool {
-        let at = match self.best(need, false, zones, only) {
-            Some(at) => at,
-            None => {
-                let Some((kind, slot)) = self.wish(need, zones, only) else {
-                    return false;
-                };
-                self.plan.hires.push((kind, urgent));
-                self.slots.push(slot);
-                self.slots.len() - 1
-            }
-        };
-        self.take(at, need, zones);
-        true
+            && (self.now.since(job.submitted).secs() > STARVED_S
+                || !self.yard.any_usable(&need.room, &self.yard.mask(need, &job.zones, None)))
     }
 
     /// The cheapest kind of machine that a task may use and that was not refused lately.
-    fn wish(
-        &self,
-        need: &Need,
-        zones: &BTreeMap<Zone, u32>,
-        only: Option<&Zone>,
-    ) -> Option<(Kind, Slot)> {
-        let catalog = self.fleet.catalog.as_ref()?;
-        let mut best: Option<(f64, Kind, Slot)> = None;
-        for flavor in &catalog.flavors {
-            let whole = Room::from(flavor);
-            if !whole.fits(&need.room) {
+    fn wish(&self, need: &Need, mask: &[bool]) -> Option<usize> {
+        let mut best: Option<(f64, usize)> = None;
+        for (at, (flavor, zone, spot)) in self.yard.kinds.iter().enumerate() {
+            let whole = Room::from(*flavor);
+            if !mask[at] || !whole.fits(&need.room) || !flavor.zones.contains(zone) {
                 continue;
             }
-            for zone in &flavor.zones {
-                for spot in [true, false] {
-                    let kind = Kind { flavor: flavor.label.clone(), zone: zone.clone(), spot };
-                    if !need.allows(&flavor.label, zone, spot)
-                        || only.is_some_and(|z| z != zone)
-                        || !need.zone_open(zone, zones)
-                        || (self.refused)(&kind)
-                    {
-                        continue;
-                    }
-                    let price = if spot { flavor.spot_price } else { flavor.price };
-                    let there = self.slots.iter().filter(|s| s.zone == *zone).count() as f64;
-                    // Equal prices: the zone with fewer machines, so that losses of a zone weigh less.
-                    let cost = price * need.room.share_of(&whole) * (1.0 + there / 1000.0);
-                    if best.as_ref().is_none_or(|(c, _, _)| cost < *c) {
-                        let slot = new_slot(&kind, flavor);
-                        best = Some((cost, kind, slot));
-                    }
-                }
+            let kind = Kind { flavor: flavor.label.clone(), zone: zone.clone(), spot: *spot };
+            if (self.refused)(&kind) {
+                continue;
+            }
+            let price = if *spot { flavor.spot_price } else { flavor.price };
+            let there = f64::from(self.yard.in_zone(zone));
+            // Equal prices: the zone with fewer machines, so that losses of a zone weigh less.
+            let cost = price * need.room.share_of(&whole) * (1.0 + there / 1000.0);
+            if best.is_none_or(|(c, _)| cost < c) {
+                best = Some((cost, at));
             }
         }
-        best.map(|(_, kind, slot)| (kind, slot))
+        best.map(|(_, at)| at)
     }
 
     /// Keeps room for tasks that are likely to come: on live machines, on those on their way, or on
     /// further ones.
     fn keep_ready(&mut self, job: &Job, count: u32) {
         let need = Need { job, room: Room::from(&*job.spec) };
+        let mut places = Places::new(self, &need, BTreeMap::new(), None);
         for _ in 0..count {
-            let mut zones = BTreeMap::new();
-            if let Some(at) = self.best(&need, true, &zones, None) {
-                self.take(at, &need, &mut zones);
-                self.plan.ready.extend(self.slots[at].host.clone());
-            } else if !self.count_on_new(&need, &mut zones, None, true) {
+            if let Some(at) = places.live(self, &need) {
+                self.plan.ready.extend(self.yard.slots[at].machine.map(|m| m.id.clone()));
+            } else if !places.later(self, &need, true) {
                 break;
             }
         }
@@ -634,8 +462,8 @@
         };
         for site in &sites {
             if let Some(places) = self.gang_places(&need, tasks.len(), site.as_ref()) {
-                for (index, host) in tasks.iter().zip(places) {
-                    self.plan.starts.push((job.spec.id.clone(), *index, host));
+                for (index, at) in tasks.iter().zip(places) {
+                    self.start(job, *index, at);
                 }
                 return;
             }
@@ -643,44 +471,53 @@
         // Not now: count it against live room first, then machines on their way or to be hired,
         // so that nothing of lower rank takes what it will need.
         for site in &sites {
-            let before = (self.slots.clone(), self.usage.clone(), self.plan.hires.len());
-            let mut zones = job.zones.clone();
-            let mut placed = true;
-            for _ in tasks {
-                if let Some(at) = self.best(&need, true, &zones, site.as_ref()) {
-                    self.take(at, &need, &mut zones);
-                } else if !self.count_on_new(&need, &mut zones, site.as_ref(), true) {
-                    placed = false;
-                    break;
-                }
-            }
+            let mark = self.mark(job);
+            let mut places = Places::new(self, &need, job.zones.clone(), site.as_ref());
+            let placed = tasks.iter().all(|_| {
+                places.live(self, &need).is_some() || places.later(self, &need, true)
+            });
             if placed {
                 break;
             }
-            (self.slots, self.usage) = (before.0, before.1);
-            self.plan.hires.truncate(before.2);
+            self.roll_back(job, mark);
         }
         self.make_room(&need, book, false);
     }
 
+    /// Live slots for all tasks of a gang together.
     fn gang_places(
         &mut self,
         need: &Need,
         count: usize,
         site: Option<&Zone>,
-    ) -> Option<Vec<HostId>> {
-        let before = (self.slots.clone(), self.usage.clone());
-        let mut zones = need.job.zones.clone();
-        let mut hosts = Vec::new();
-        for _ in 0..count {
-            let Some(at) = self.best(need, true, &zones, site) else {
-                (self.slots, self.usage) = before;
-                return None;
-            };
-            self.take(at, need, &mut zones);
-            hosts.extend(self.slots[at].host.clone());
+    ) -> Option<Vec<usize>> {
+        let zones = need.job.zones.clone();
+        let mask = self.yard.mask(need, &zones, site);
+        if self.yard.hopeless(need, &mask, When::Live, count) {
+            return None;
+        }
+        let mark = self.mark(need.job);
+        let mut places = Places::new(self, need, zones, site);
+        let found: Vec<usize> = (0..count).map_while(|_| places.live(self, need)).collect();
+        if found.len() == count {
+            return Some(found);
+        }
+        self.roll_back(need.job, mark);
+        if !need.job.spec.spread {
+            self.yard.note_none(need, &mask, When::Live, count);
         }
-        Some(hosts)
+        None
+    }
+
+    fn mark(&self, job: &Job) -> (slots::Mark, Option<Usage>, usize) {
+        let usage = self.usage.get(&job.spec.team).copied();
+        (self.yard.mark(), usage, self.plan.hires.len())
+    }
+
+    fn roll_back(&mut self, job: &Job, (mark, usage, hires): (slots::Mark, Option<Usage>, usize)) {
+        self.yard.roll_back(mark);
+        self.usage.insert(job.spec.team.clone(), usage.unwrap_or_default());
+        self.plan.hires.truncate(hires);
     }
 
     /// Whether a machine that has to boot first would come in time for the job's aim.
@@ -707,13 +544,14 @@
             return;
         }
         let id = &job.spec.id;
-        let held_for_it =
-            self.fleet.machines.values().any(|m| {
-                m.reserved.as_ref().is_some_and(|(j, until)| j == id && self.now < *until)
-            });
-        if held_for_it || self.plan.reserve.iter().any(|(_, j)| j == id) {
+        let kept = self.yard.kept_for(id) || self.plan.reserve.iter().any(|(_, j)| j == id);
+        // A search looks at every task on every machine; those left out have their turn in the
+        // next pass.
+        if kept || self.searches >= MAKE_ROOM_MOST {
             return;
         }
+        self.searches += 1;
+        self.plan.steps += VICTIM_STEPS * self.fleet.machines.len() as u64;
         let mut best: Option<(f64, HostId, Vec<TaskId>)> = None;
         for m in self.fleet.machines.values() {
             let taken = m.reserved.as_ref().is_some_and(|(_, until)| self.now < *until)
@@ -802,3 +640,50 @@
             || (facts.gpus <= 0.0 && facts.cpus <= 0.0)
     }
 }
+
+/// Places for the tasks of one job, one after another.
+struct Places {
+    search: Search,
+    zones: BTreeMap<Zone, u32>,
+    only: Option<Zone>,
+    mask: slots::Mask,
+}
+
+impl Places {
+    fn new(pass: &Pass, need: &Need, zones: BTreeMap<Zone, u32>, only: Option<&Zone>) -> Self {
+        let mask = pass.yard.mask(need, &zones, only);
+        Self { search: Search::default(), zones, only: only.cloned(), mask }
+    }
+
+    /// The best live slot, which is taken.
+    fn live(&mut self, pass: &mut Pass, need: &Need) -> Option<usize> {
+        let at = pass.yard.best(&mut self.search, need, &self.mask, When::Live)?;
+        self.take(pass, need, at);
+        Some(at)
+    }
+
+    /// Counts a task against a machine on its way, or wishes for another one.
+    fn later(&mut self, pass: &mut Pass, need: &Need, urgent: bool) -> bool {
+        let at = match pass.yard.best(&mut self.search, need, &self.mask, When::Coming) {
+            Some(at) => at,
+            None => {
+                let Some(kind) = pass.wish(need, &self.mask) else { return false };
+                let (flavor, zone, spot) = &pass.yard.kinds[kind];
+                let (flavor, zone, spot) = (flavor.label.clone(), zone.clone(), *spot);
+                pass.plan.hires.push((Kind { flavor, zone, spot }, urgent));
+                pass.yard.wish(kind)
+            }
+        };
+        self.take(pass, need, at);
+        true
+    }
+
+    fn take(&mut self, pass: &mut Pass, need: &Need, at: usize) {
+        pass.yard.take(&mut self.search, at, need);
+        pass.count_usage(need.job, 1.0);
+        *self.zones.entry(pass.yard.zone(at).clone()).or_default() += 1;
+        if need.job.spec.spread || need.job.spec.one_zone {
+            self.mask = pass.yard.mask(need, &self.zones, self.only.as_ref());
+        }
+    }
+}
--- /dev/null
+++ b/src/placement/slots.rs
@@ -0,0 +1,385 @@
+//! Room as one placement pass sees it: a slot for every machine that is live, on its way or only
+//! wished for. Each job looks at the slots once, whatever the number of its tasks, and what was
+//! found to fit nowhere is remembered for the rest of the pass; every look counts as a step.
+
+use super::Need;
+use crate::cloud::Kind;
+use crate::constants::*;
+use crate::types::{JobId, Mono, Zone};
+use crate::wire::{Flavor, JobSpec};
+use crate::workers::{Fleet, Life, Machine, Room};
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BinaryHeap, HashSet};
+
+/// Room on a machine that is live, on its way, or only wished for.
+#[derive(Debug)]
+pub(super) struct Slot<'a> {
+    pub machine: Option<&'a Machine>,
+    /// Being emptied: used again before another machine is hired, but only then.
+    closing: bool,
+    kind: usize,
+    free: Room,
+    whole: Room,
+    reserved: Option<&'a JobId>,
+    fetch: f64,
+    /// Images on their way there, and their sizes.
+    fetching: Vec<(String, f64)>,
+}
+
+/// Which slots are meant: those where a task may start now, or those that come later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum When {
+    Live,
+    Coming,
+}
+
+/// Kinds of machine, by their place in [`Yard::kinds`], that a task may be on.
+pub(super) type Mask = Vec<bool>;
+
+#[derive(Debug, PartialEq)]
+struct Candidate {
+    score: f64,
+    at: usize,
+}
+
+impl Eq for Candidate {}
+
+impl Ord for Candidate {
+    /// The best, which is the lowest score, is the greatest; among equals the first.
+    fn cmp(&self, other: &Self) -> Ordering {
+        other.score.total_cmp(&self.score).then(other.at.cmp(&self.at))
+    }
+}
+
+impl PartialOrd for Candidate {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+/// One job's search: the slots that its tasks fit, best first.
+#[derive(Debug, Default)]
+pub(super) struct Search {
+    live: Option<BinaryHeap<Candidate>>,
+    coming: Option<BinaryHeap<Candidate>>,
+}
+
+/// That many tasks of this size found no room together on slots of these kinds. Slots only fill
+/// up during a pass, so it holds to its end.
+#[derive(Debug)]
+struct NoRoom {
+    when: When,
+    room: Room,
+    mask: Mask,
+    count: usize,
+}
+
+/// What taking a place changed, to be undone if the rest of a gang finds none.
+#[derive(Debug)]
+struct Taken {
+    at: usize,
+    free: Room,
+    fetches: usize,
+}
+
+/// Where a rollback goes back to.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Mark {
+    taken: usize,
+    slots: usize,
+    none: usize,
+}
+
+#[derive(Debug)]
+pub(super) struct Yard<'a> {
+    pub kinds: Vec<(&'a Flavor, Zone, bool)>,
+    pub slots: Vec<Slot<'a>>,
+    live: Vec<usize>,
+    coming: Vec<usize>,
+    /// Slots of each kind.
+    counts: Vec<u32>,
+    /// Jobs for which a machine is being kept.
+    kept_for: HashSet<&'a JobId>,
+    none: Vec<NoRoom>,
+    taken: Vec<Taken>,
+    /// Slots looked at so far: what the pass costs.
+    pub steps: u64,
+}
+
+/// Whether new tasks may go to the machine.
+pub(super) fn usable(m: &Machine, now: Mono) -> bool {
+    matches!(m.life, Life::Live | Life::Closing) && now >= m.paused_until
+}
+
+impl<'a> Yard<'a> {
+    pub fn new(fleet: &'a Fleet, awaited: &[(Kind, u32)], now: Mono) -> Self {
+        let mut yard = Self {
+            kinds: Vec::new(),
+            slots: Vec::with_capacity(fleet.machines.len()),
+            live: Vec::new(),
+            coming: Vec::new(),
+            counts: Vec::new(),
+            kept_for: HashSet::new(),
+            none: Vec::new(),
+            taken: Vec::new(),
+            steps: fleet.machines.len() as u64,
+        };
+        let flavors = || fleet.catalog.iter().flat_map(|c| &c.flavors);
+        for flavor in flavors() {
+            for zone in &flavor.zones {
+                for spot in [true, false] {
+                    yard.kind(flavor, zone, spot);
+                }
+            }
+        }
+        for m in fleet.machines.values() {
+            let live = usable(m, now);
+            if !live && m.life != Life::Booting {
+                continue;
+            }
+            let Some(flavor) = flavors().find(|f| f.label == m.flavor) else { continue };
+            // Guards against waiting for a machine that never comes up while others could be hired.
+            if !live && now.since(m.born).secs() > flavor.boot_s * BOOT_SPREAD {
+                continue;
+            }
+            let reserved =
+                m.reserved.as_ref().filter(|(_, until)| now < *until).map(|(job, _)| job);
+            yard.kept_for.extend(reserved);
+            let kind = yard.kind(flavor, &m.zone, m.spot);
+            let slot = Slot {
+                machine: Some(m),
+                closing: m.life == Life::Closing,
+                kind,
+                free: fleet.free_room(m),
+                whole: Room::from(flavor),
+                reserved,
+                fetch: flavor.fetch_gb_per_s,
+                fetching: m.fetching(),
+            };
+            yard.push(slot, if live { When::Live } else { When::Coming });
+        }
+        for (kind, number) in awaited {
+            let Some(flavor) = flavors().find(|f| f.label == kind.flavor) else { continue };
+            let kind = yard.kind(flavor, &kind.zone, kind.spot);
+            for _ in 0..*number {
+                yard.wish(kind);
+            }
+        }
+        yard
+    }
+
+    fn kind(&mut self, flavor: &'a Flavor, zone: &Zone, spot: bool) -> usize {
+        let same = |(f, z, s): &(&Flavor, Zone, bool)| {
+            *s == spot && std::ptr::eq(*f, flavor) && z == zone
+        };
+        self.kinds.iter().position(same).unwrap_or_else(|| {
+            self.kinds.push((flavor, zone.clone(), spot));
+            self.counts.push(0);
+            self.kinds.len() - 1
+        })
+    }
+
+    fn push(&mut self, slot: Slot<'a>, when: When) -> usize {
+        let at = self.slots.len();
+        self.counts[slot.kind] += 1;
+        self.slots.push(slot);
+        match when {
+            When::Live => self.live.push(at),
+            When::Coming => self.coming.push(at),
+        }
+        at
+    }
+
+    /// Adds a machine of a kind that is asked for or wished for.
+    pub fn wish(&mut self, kind: usize) -> usize {
+        let flavor = self.kinds[kind].0;
+        let slot = Slot {
+            machine: None,
+            closing: false,
+            kind,
+            free: Room::from(flavor),
+            whole: Room::from(flavor),
+            reserved: None,
+            fetch: flavor.fetch_gb_per_s,
+            fetching: Vec::new(),
+        };
+        self.push(slot, When::Coming)
+    }
+
+    /// Machines in a zone, wished ones included.
+    pub fn in_zone(&self, zone: &Zone) -> u32 {
+        let here = self.kinds.iter().zip(&self.counts).filter(|((_, z, _), _)| z == zone);
+        here.map(|(_, count)| count).sum()
+    }
+
+    /// Whether any machine, full or not, is of a kind and size that a task may use.
+    pub fn any_usable(&self, room: &Room, mask: &Mask) -> bool {
+        self.slots.iter().any(|s| mask[s.kind] && s.whole.fits(room))
+    }
+
+    pub fn zone(&self, at: usize) -> &Zone {
+        &self.kinds[self.slots[at].kind].1
+    }
+
+    /// Whether a machine is being kept for the job.
+    pub fn kept_for(&self, id: &JobId) -> bool {
+        self.kept_for.contains(id)
+    }
+
+    /// Kinds that a task of the job may be on, given where its other tasks are.
+    pub fn mask(&self, need: &Need, zones: &BTreeMap<Zone, u32>, only: Option<&Zone>) -> Mask {
+        let open = |zone: &Zone| only.is_none_or(|z| z == zone) && need.zone_open(zone, zones);
+        self.kinds
+            .iter()
+            .map(|(flavor, zone, spot)| need.allows(&flavor.label, zone, *spot) && open(zone))
+            .collect()
+    }
+
+    /// Takes every slot out for which `out` holds.
+    pub fn leave_out(&mut self, out: impl Fn(&Machine) -> bool) {
+        let slots = &self.slots;
+        self.live.retain(|at| slots[*at].machine.is_none_or(|m| !out(m)));
+    }
+
+    /// Whether it is known already that the tasks find no room together.
+    pub fn hopeless(&self, need: &Need, mask: &Mask, when: When, count: usize) -> bool {
+        if self.kept_for(&need.job.spec.id) {
+            return false;
+        }
+        self.none.iter().any(|known| {
+            known.when == when
+                && known.count <= count
+                && need.room.fits(&known.room)
+                && mask.iter().zip(&known.mask).all(|(mine, theirs)| !mine || *theirs)
+        })
+    }
+
+    /// Notes that so many tasks of the job found no room together.
+    pub fn note_none(&mut self, need: &Need, mask: &Mask, when: When, count: usize) {
+        // What a job avoids, or has kept for it, says nothing about others.
+        if need.job.error_hosts.is_empty()
+            && !self.kept_for(&need.job.spec.id)
+            && !self.hopeless(need, mask, when, count)
+        {
+            self.none.push(NoRoom { when, room: need.room, mask: mask.clone(), count });
+        }
+    }
+
+    /// The best slot for one more task of the search's job.
+    pub fn best(
+        &mut self,
+        search: &mut Search,
+        need: &Need,
+        mask: &Mask,
+        when: When,
+    ) -> Option<usize> {
+        let known = match when {
+            When::Live => search.live.take(),
+            When::Coming => search.coming.take(),
+        };
+        let mut heap = match known {
+            Some(heap) => heap,
+            None if self.hopeless(need, mask, when, 1) => BinaryHeap::new(),
+            None => self.look(need, mask, when),
+        };
+        let found = loop {
+            let Some(candidate) = heap.pop() else { break None };
+            let slot = &self.slots[candidate.at];
+            // A zone may have closed to the job since; it does not open again.
+            if mask[slot.kind] && slot.free.fits(&need.room) {
+                break Some(candidate.at);
+            }
+        };
+        if found.is_none() {
+            self.note_none(need, mask, when, 1);
+        }
+        match when {
+            When::Live => search.live = Some(heap),
+            When::Coming => search.coming = Some(heap),
+        }
+        found
+    }
+
+    fn look(&mut self, need: &Need, mask: &Mask, when: When) -> BinaryHeap<Candidate> {
+        let list = match when {
+            When::Live => &self.live,
+            When::Coming => &self.coming,
+        };
+        self.steps += list.len() as u64;
+        let id = &need.job.spec.id;
+        let fits = |at: &&usize| {
+            let slot = &self.slots[**at];
+            mask[slot.kind]
+                && slot.free.fits(&need.room)
+                && slot.reserved.is_none_or(|job| job == id)
+                && slot.machine.is_none_or(|m| !need.job.avoids(&m.id))
+        };
+        list.iter()
+            .filter(fits)
+            .map(|at| Candidate { score: self.score(need, &self.slots[*at]), at: *at })
+            .collect()
+    }
+
+    /// Takes a place, and offers what is left of it to the job's next task.
+    pub fn take(&mut self, search: &mut Search, at: usize, need: &Need) {
+        let spec = &need.job.spec;
+        let cached = self.cached(at, &spec.image);
+        let slot = &mut self.slots[at];
+        self.taken.push(Taken { at, free: slot.free, fetches: slot.fetching.len() });
+        slot.free.take(&need.room);
+        if !cached && slot.fetching.iter().all(|(name, _)| *name != spec.image) {
+            slot.fetching.push((spec.image.clone(), spec.image_gb));
+        }
+        if self.slots[at].free.fits(&need.room) {
+            self.steps += 1;
+            self.offer(search, at, need);
+        }
+    }
+
+    /// Puts a slot up for the search's next task.
+    pub fn offer(&self, search: &mut Search, at: usize, need: &Need) {
+        let candidate = Candidate { score: self.score(need, &self.slots[at]), at };
+        let live = self.slots[at].machine.is_some_and(|m| m.life != Life::Booting);
+        let heap = if live { &mut search.live } else { &mut search.coming };
+        heap.get_or_insert_default().push(candidate);
+    }
+
+    pub fn mark(&self) -> Mark {
+        Mark { taken: self.taken.len(), slots: self.slots.len(), none: self.none.len() }
+    }
+
+    /// Gives up all places taken, and all machines wished for, since the mark.
+    pub fn roll_back(&mut self, mark: Mark) {
+        for taken in self.taken.drain(mark.taken..).rev() {
+            let slot = &mut self.slots[taken.at];
+            slot.free = taken.free;
+            slot.fetching.truncate(taken.fetches);
+        }
+        for slot in self.slots.drain(mark.slots..) {
+            self.counts[slot.kind] -= 1;
+        }
+        self.coming.retain(|at| *at < mark.slots);
+        self.none.truncate(mark.none);
+    }
+
+    pub fn cached(&self, at: usize, image: &str) -> bool {
+        self.slots[at].machine.is_some_and(|m| m.has_image(image))
+    }
+
+    /// Lower is better: a fetch costs its time, then the tightest fit wins.
+    fn score(&self, need: &Need, slot: &Slot) -> f64 {
+        let spec: &JobSpec = &need.job.spec;
+        let cached = slot.machine.is_some_and(|m| m.has_image(&spec.image));
+        // Images fetched at the same time share the rate.
+        let known = slot.fetching.iter().any(|(name, _)| *name == spec.image);
+        let ahead: f64 = slot.fetching.iter().map(|(_, gb)| gb).sum();
+        let gb = if known { ahead } else { ahead + spec.image_gb };
+        let fetch_s = if cached || slot.fetch <= 0.0 { 0.0 } else { gb / slot.fetch };
+        let mut left = slot.free;
+        left.take(&need.room);
+        let spare = left.share_of(&slot.whole);
+        let dear = if spec.spot && !self.kinds[slot.kind].2 { 0.5 } else { 0.0 };
+        let reopened = if slot.closing { REOPEN_WEIGHT } else { 0.0 };
+        fetch_s / FETCH_WEIGHT_S + spare + dear + reopened
+    }
+}
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -64,7 +64,8 @@
     last_move: Mono,
     expected: Vec<(Job, u32)>,
     place_dirty: bool,
-    last_place: Mono,
+    /// When the next placement pass may be: the last one's cost decides.
+    next_place: Mono,
     next_tick: Mono,
 }
 
@@ -87,7 +88,7 @@
             last_move: Mono(0),
             expected: Vec::new(),
             place_dirty: true,
-            last_place: Mono(0),
+            next_place: Mono(0),
             next_tick: now,
         }
     }
@@ -931,7 +932,7 @@
             self.log_fleet(&plan);
         }
         self.return_idle(&plan, ops, desk, now);
-        self.consolidate(&plan, settings, desk, now);
+        self.consolidate(&plan, desk, now);
         self.hire(plan, rented, bounds.max, desk);
     }
 
@@ -1004,7 +1005,7 @@
 
     /// While more is rented than planned and no machine stands idle, empties the one with least on
     /// it: replicas move one at a time, other tasks end by themselves.
-    fn consolidate(&mut self, plan: &Plan, settings: &Settings, desk: &mut CloudDesk, now: Mono) {
+    fn consolidate(&mut self, plan: &Plan, desk: &mut CloudDesk, now: Mono) {
         for host in &plan.ready {
             if let Some(m) = self.fleet.machines.get_mut(host).filter(|m| m.life == Life::Closing) {
                 m.enter(Life::Live, "kept ready");
@@ -1029,8 +1030,8 @@
             return;
         }
         let roomy =
-            |host: &HostId| placement::room_elsewhere(now, settings, &self.book, &self.fleet, host);
-        let least = self
+            |host: &HostId| placement::room_elsewhere(now, &self.book, &self.fleet, host);
+        let mut least: Vec<(f64, HostId)> = self
             .fleet
             .machines
             .values()
@@ -1038,10 +1039,13 @@
             .filter(|m| !plan.ready.contains(&m.id))
             .filter(|m| m.reserved.as_ref().is_none_or(|(_, until)| now >= *until))
             .filter(|m| kept - cpus(m) >= self.planned)
-            .filter(|m| closing.len() < CLOSING_MOST && roomy(&m.id))
+            .filter(|_| closing.len() < CLOSING_MOST)
             .map(|m| (m.used.share_of(&self.fleet.room_of(m)), m.id.clone()))
-            .min_by(|a, b| a.0.total_cmp(&b.0))
-            .map(|(_, host)| host);
+            .collect();
+        least.sort_by(|a, b| a.0.total_cmp(&b.0));
+        // Each question looks at the whole fleet, so it is asked of a few only.
+        let least =
+            least.into_iter().map(|(_, host)| host).take(EMPTY_TRIES).find(|host| roomy(host));
         let mover = closing
             .iter()
             .filter(|_| now.since(self.last_move) >= MOVE_EVERY_MS)
@@ -1073,7 +1077,6 @@
     /// One placement pass; starts and stops are taken up, hires are left to the caller.
     fn place(&mut self, settings: &Settings, desk: &CloudDesk, now: Mono) -> Plan {
         self.place_dirty = false;
-        self.last_place = now;
         let refused = |kind: &Kind| desk.refused(kind, now);
         let mut plan = placement::plan(Inputs {
             now,
@@ -1085,6 +1088,10 @@
             expected: &self.expected,
             refused: &refused,
         });
+        // A pass that costs more comes less often, so that it starves nothing else.
+        let took_s = plan.steps as f64 * STEP_NS * 1e-9;
+        let share = PLACE_SHARE * settings.facts.limits.cpu_share.clamp(0.01, 1.0);
+        self.next_place = now.plus(Millis::from_secs(took_s / share).max(PLACE_EVERY_MS));
         let mut gangs: HashMap<JobId, Attempt> = HashMap::new();
         for (id, index, host) in plan.starts.split_off(0) {
             let attempt = match self.book.get(&id).map(|j| (j.spec.shape, j.gang)) {
@@ -1168,7 +1175,7 @@
         if self.stage != Stage::Ruling {
             return;
         }
-        if now >= self.next_tick {
+        if now >= self.next_tick && now >= self.next_place.min(self.next_tick.plus(ops.tick())) {
             self.next_tick = now.plus(ops.tick());
             self.watch_machines(settings, ops, desk, now);
             self.drain(now);
@@ -1178,7 +1185,7 @@
             while self.book.arrivals.front().is_some_and(|(at, _)| now.since(*at) > old) {
                 self.book.arrivals.pop_front();
             }
-        } else if self.place_dirty && now.since(self.last_place) >= PLACE_EVERY_MS {
+        } else if self.place_dirty && now >= self.next_place {
             self.place(settings, desk, now);
         }
     }
