Ends of tasks share writes, a job's end takes its record along, submissions get their turn

Every end of a task rewrote its record, so that the leader's 62% of the changes was always used up, and the writer went before all submissions to that node; those waited 1.5 s and were turned away. Ruled out: the service's own limits (no request was refused), followers' shares (they answered in time).

Change: ends of tasks wait up to 4 s for others of the same record; a job's end removes its records in the same transaction where nothing is held; submissions and the writer share the changes evenly, and reads wait for neither. The leader's notes tell of 150 machines at a time, so that a frame does not grow with the fleet. Found on the way, each with a test or comment: a record first written along with its job's end stayed for ever, and a leader that ended between the last task's write and the job's left the job open for good.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -55,6 +55,8 @@
 /// Share that each other controller may use; with the leader's and the rest kept for renewals and
 /// watches the sum stays under 1 for three controllers.
 pub const FOLLOWER_SHARE: f64 = 0.14;
+/// Changes by which the writer may be ahead of submissions, or behind them: some transactions.
+pub const AHEAD_MOST: f64 = 64.0;
 /// Answers awaited at once besides the writer's.
 pub const STORE_INFLIGHT: usize = 6;
 /// Requests that may wait for the pacer before callers are told to come back.
@@ -71,6 +73,9 @@
 pub const PAGE_ROWS: u32 = 500;
 /// Bytes of values put into one transaction; the service allows 64 KiB in total.
 pub const TXN_BYTES: usize = 40 * 1024;
+/// How long the end of a task may wait to be written: workers keep results meanwhile, further ends
+/// of the same job share the write, and the end of the job makes it needless.
+pub const LAZY_WRITE_MS: Millis = Millis(4_000);
 /// Tasks whose assignments share one key: 96 of them stay under 5 KiB, below the smallest value
 /// limit seen fit to support (8 KiB).
 pub const CHUNK_TASKS: u32 = 96;
@@ -96,6 +101,10 @@
 
 /// Period of the leader's notes to its peers.
 pub const NOTES_EVERY_MS: Millis = Millis(3_000);
+/// Machines whose images one note tells of: some 15 KB of a frame.
+pub const NOTES_MACHINES: usize = 150;
+/// Machines of which a follower keeps what it was told; a few hundred bytes each.
+pub const NOTES_MACHINES_KEPT: usize = 4_000;
 /// Notes older than this are of no use to a new leader.
 pub const NOTES_OLD_MS: Millis = Millis(60_000);
 /// How fresh a leader's answer must be to show that only this node is refused.
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -214,7 +214,7 @@
 
     /// Tells the other controllers what they would miss as leader; no answer is waited for.
     fn pass_notes(&mut self, now: Mono) {
-        let Some(reign) = self.reign.as_ref().filter(|r| r.stage == Stage::Ruling) else { return };
+        let Some(reign) = self.reign.as_mut().filter(|r| r.stage == Stage::Ruling) else { return };
         if !self.was_valid || now < self.next_notes {
             return;
         }
@@ -470,11 +470,8 @@
         let Some(reign) = self.reign.as_mut().filter(|r| r.stage == Stage::Ruling) else {
             return;
         };
-        if !reign.book.dirty() {
-            return;
-        }
         let ops = self.settings.facts.state.txn_ops;
-        let Some((txn, written)) = reign.book.next_txn(fence, ops) else {
+        let Some((txn, written)) = reign.book.next_txn(fence, ops, now) else {
             return;
         };
         self.writer = Writer::Writing;
@@ -576,7 +573,8 @@
                 }
             }
             Request::Notes(notes) => {
-                self.notes = Some((now.mono, *notes));
+                let told = self.notes.take().map(|(_, told)| told);
+                self.notes = Some((now.mono, Notes::joined(told, *notes)));
                 self.reply(conn, HttpReply::json(200, &serde_json::json!({})));
             }
             _ if self.open.len() > USER_INFLIGHT => {
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -10,7 +10,7 @@
 use crate::wire::{Change, Condition, JobSpec, JobStatus, JobView, Rank, Shape, TaskPhase, Txn};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 
 pub const LIVE: &str = "live/";
@@ -442,11 +442,25 @@
 pub struct Book {
     pub jobs: BTreeMap<JobId, Job>,
     pub usage: HashMap<String, Usage>,
+    /// When it was last asked for something to write.
+    now: Mono,
     /// Jobs that came lately, oldest first.
     pub arrivals: VecDeque<(Mono, Arc<JobSpec>)>,
+    /// Ends of jobs, which users wait for.
     urgent: VecDeque<Item>,
+    /// Assignments, which machines wait for.
     dirty: VecDeque<Item>,
-    queued: HashSet<Item>,
+    /// What nobody waits for, with the moment from which it is written: by then more of the same
+    /// key has changed, or the job's end makes the write needless.
+    lazy: VecDeque<(Mono, Item)>,
+    queued: HashMap<Item, Haste>,
+}
+
+/// How soon a change of the book is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Haste {
+    Lazy,
+    Soon,
 }
 
 impl Book {
@@ -490,10 +504,6 @@
             return Vec::new();
         };
         slot.stamp = stamp;
-        if over {
-            self.queued.insert(Item::Chunk(id.clone(), chunk));
-            self.dirty.push_back(Item::Chunk(id.clone(), chunk));
-        }
         let from = chunk * CHUNK_TASKS;
         for (i, done) in from_hex(&record.done).enumerate() {
             if done && let Some(task) = job.tasks.get_mut(from as usize + i) {
@@ -519,6 +529,9 @@
                 held.push((index, host));
             }
         }
+        if over {
+            self.enqueue(Item::Chunk(id.clone(), chunk), Haste::Lazy);
+        }
         held
     }
 
@@ -552,7 +565,7 @@
         hold.version = job.chunks[(index / CHUNK_TASKS) as usize].version + 1;
         let held = self.hold_unwritten(id, index, hold);
         if held {
-            self.touch(id, index);
+            self.touch(id, index, Haste::Soon);
         }
         held
     }
@@ -589,23 +602,45 @@
         if job.held == 0 && job.gang != Gang::Idle {
             job.gang_enter(Gang::Idle, "all its tasks are gone");
         }
-        self.touch(id, index);
+        self.touch(id, index, Haste::Lazy);
     }
 
     /// Marks the chunk of a task as changed.
-    fn touch(&mut self, id: &JobId, index: u32) {
+    fn touch(&mut self, id: &JobId, index: u32, haste: Haste) {
         let chunk = index / CHUNK_TASKS;
         if let Some(job) = self.jobs.get_mut(id) {
             job.chunks[chunk as usize].version += 1;
         }
-        self.enqueue(Item::Chunk(id.clone(), chunk));
+        self.enqueue(Item::Chunk(id.clone(), chunk), haste);
+    }
+
+    fn enqueue(&mut self, item: Item, haste: Haste) {
+        // What waits already and is now wanted sooner leaves a stale row behind, which is skipped.
+        if self.queued.get(&item).is_some_and(|known| *known >= haste) {
+            return;
+        }
+        self.queued.insert(item.clone(), haste);
+        match (&item, haste) {
+            (Item::End(_), _) => self.urgent.push_back(item),
+            (_, Haste::Soon) => self.dirty.push_back(item),
+            (_, Haste::Lazy) => self.lazy.push_back((self.now.plus(LAZY_WRITE_MS), item)),
+        }
     }
 
-    fn enqueue(&mut self, item: Item) {
-        if self.queued.insert(item.clone()) {
-            match item {
-                Item::End(_) => self.urgent.push_back(item),
-                Item::Chunk(..) => self.dirty.push_back(item),
+    /// The item to be written next, if one is due.
+    fn pop(&mut self) -> Option<Item> {
+        loop {
+            let (item, haste) = if let Some(item) = self.urgent.pop_front() {
+                (item, Haste::Soon)
+            } else if let Some(item) = self.dirty.pop_front() {
+                (item, Haste::Soon)
+            } else {
+                self.lazy.front().filter(|(due, _)| *due <= self.now)?;
+                (self.lazy.pop_front()?.1, Haste::Lazy)
+            };
+            if self.queued.get(&item) == Some(&haste) {
+                self.queued.remove(&item);
+                return Some(item);
             }
         }
     }
@@ -616,7 +651,7 @@
             && job.state == JobState::Open
         {
             job.enter(JobState::Ending(status), why);
-            self.enqueue(Item::End(id.clone()));
+            self.enqueue(Item::End(id.clone()), Haste::Soon);
         }
     }
 
@@ -625,23 +660,27 @@
         self.jobs.get(id).and_then(Job::view)
     }
 
-    pub fn dirty(&self) -> bool {
-        !self.urgent.is_empty() || !self.dirty.is_empty()
-    }
-
     /// The next fenced transaction, within the limits of the service.
-    pub fn next_txn(&mut self, fence: Condition, ops: usize) -> Option<(Txn, Vec<Written>)> {
+    pub fn next_txn(
+        &mut self,
+        fence: Condition,
+        ops: usize,
+        now: Mono,
+    ) -> Option<(Txn, Vec<Written>)> {
+        self.now = now;
         let mut txn = Txn { conditions: vec![fence], changes: Vec::new() };
         let mut written = Vec::new();
         let mut bytes = 0;
-        // An end is two changes.
+        // An end is two changes, and as many more as the job has assignment records to remove.
         while txn.changes.len() + 2 <= ops && bytes < TXN_BYTES {
-            let Some(item) = self.urgent.pop_front().or_else(|| self.dirty.pop_front()) else {
-                break;
-            };
-            self.queued.remove(&item);
-            if let Some(done) = self.write(&item, &mut txn, &mut bytes) {
-                written.push(done);
+            let Some(item) = self.pop() else { break };
+            let Some(done) = self.write(&item, &mut txn, &mut bytes) else { continue };
+            written.push(done);
+            let Item::End(id) = item else { continue };
+            for chunk in self.leftovers(&id, ops - txn.changes.len()) {
+                let item = Item::Chunk(id.clone(), chunk);
+                self.queued.remove(&item);
+                written.extend(self.remove(&id, chunk, &mut txn));
             }
         }
         (!written.is_empty()).then_some((txn, written))
@@ -670,23 +709,41 @@
                 let job = self.jobs.get(id)?;
                 let slot = job.chunks.get(*chunk as usize)?;
                 let record = job.record(*chunk);
-                let deletes = job.state == JobState::Over && record.held.is_empty();
-                let key = chunk_key(id, *chunk);
-                if deletes && slot.stamp == Revision(0) {
-                    return None;
+                if job.state == JobState::Over && record.held.is_empty() {
+                    return self.remove(id, *chunk, txn);
                 }
+                let key = chunk_key(id, *chunk);
                 txn.conditions.push(when(key.clone(), slot.stamp));
-                txn.changes.push(if deletes {
-                    Change::Delete { key }
-                } else {
-                    *bytes += 60 + record.done.len() + record.held.len() * 48;
-                    Change::put(key, json!(record))
-                });
-                Some(Written { item: item.clone(), version: slot.version, deletes })
+                *bytes += 60 + record.done.len() + record.held.len() * 48;
+                txn.changes.push(Change::put(key, json!(record)));
+                Some(Written { item: item.clone(), version: slot.version, deletes: false })
             }
         }
     }
 
+    /// Removes an assignment record, if there is one.
+    fn remove(&self, id: &JobId, chunk: u32, txn: &mut Txn) -> Option<Written> {
+        let slot = self.jobs.get(id)?.chunks.get(chunk as usize)?;
+        if slot.stamp == Revision(0) {
+            return None;
+        }
+        let key = chunk_key(id, chunk);
+        txn.conditions.push(Condition { key: key.clone(), version: slot.stamp });
+        txn.changes.push(Change::Delete { key });
+        let item = Item::Chunk(id.clone(), chunk);
+        Some(Written { item, version: slot.version, deletes: true })
+    }
+
+    /// Records that can go together with the job's end, since nothing of it is on a machine: saves
+    /// writing what its last tasks have done.
+    fn leftovers(&self, id: &JobId, most: usize) -> Vec<u32> {
+        let Some(job) = self.jobs.get(id).filter(|job| job.held == 0) else { return Vec::new() };
+        let kept = |(_, chunk): &(usize, &Chunk)| chunk.stamp > Revision(0);
+        let chunks: Vec<u32> =
+            job.chunks.iter().enumerate().filter(kept).map(|(i, _)| i as u32).collect();
+        if chunks.len() <= most { chunks } else { Vec::new() }
+    }
+
     /// A transaction was applied at `revision`. Returns the jobs whose end is now durable.
     pub fn committed(
         &mut self,
@@ -694,7 +751,11 @@
         revision: Revision,
     ) -> Vec<(JobId, OverRecord)> {
         let mut over = Vec::new();
-        for done in written {
+        // Records before ends: guards against forgetting a job whose record was written along with
+        // its end, and which nobody would remove any more.
+        let (ends, chunks): (Vec<&Written>, Vec<&Written>) =
+            written.iter().partition(|w| matches!(w.item, Item::End(_)));
+        for done in chunks.into_iter().chain(ends) {
             match &done.item {
                 Item::End(id) => over.extend(self.ended(id)),
                 Item::Chunk(id, chunk) => {
@@ -721,9 +782,11 @@
         };
         job.enter(JobState::Over, "durable");
         let record = OverRecord { status, done: job.done };
-        let chunks = job.chunks.len() as u32;
-        for chunk in 0..chunks {
-            self.enqueue(Item::Chunk(id.clone(), chunk));
+        let kept = |(_, chunk): &(usize, &Chunk)| chunk.stamp > Revision(0);
+        let chunks: Vec<usize> =
+            job.chunks.iter().enumerate().filter(kept).map(|(i, _)| i).collect();
+        for chunk in chunks {
+            self.enqueue(Item::Chunk(id.clone(), chunk as u32), Haste::Lazy);
         }
         self.sweep(id);
         Some((id.clone(), record))
@@ -744,7 +807,7 @@
     /// A transaction failed or its fate is unknown: its items are to be written again.
     pub fn requeue(&mut self, written: Vec<Written>) {
         for done in written {
-            self.enqueue(done.item);
+            self.enqueue(done.item, Haste::Soon);
         }
     }
 
@@ -810,6 +873,12 @@
         }
     }
 
+    /// The next transaction once everything is due.
+    fn next(book: &mut Book) -> Option<(Txn, Vec<Written>)> {
+        let now = book.now.plus(LAZY_WRITE_MS);
+        book.next_txn(fence(), 16, now)
+    }
+
     fn fence() -> Condition {
         Condition { key: "lead".into(), version: Revision(1) }
     }
@@ -854,7 +923,7 @@
             full.zone = Zone::new("a-long-zone-name");
             book.hold(&id, index, full);
         }
-        while let Some((txn, written)) = book.next_txn(fence(), 16) {
+        while let Some((txn, written)) = next(&mut book) {
             let text = serde_json::to_string(&txn).unwrap();
             assert!(text.len() < 64 * 1024 && txn.changes.len() <= 16);
             for change in &txn.changes {
@@ -869,13 +938,13 @@
     fn an_assignment_is_durable_only_when_committed() {
         let (mut book, id) = book(3);
         book.hold(&id, 0, hold("i-1"));
-        let (_, first) = book.next_txn(fence(), 16).unwrap();
+        let (_, first) = next(&mut book).unwrap();
         book.hold(&id, 1, hold("i-2"));
         assert!(!book.get(&id).unwrap().durable(0));
         book.committed(&first, Revision(7));
         let job = book.get(&id).unwrap();
         assert!(job.durable(0) && !job.durable(1) && !job.settled(0));
-        let (txn, second) = book.next_txn(fence(), 16).unwrap();
+        let (txn, second) = next(&mut book).unwrap();
         assert_eq!(txn.conditions[1].version, Revision(7));
         book.committed(&second, Revision(8));
         assert!(book.get(&id).unwrap().durable(1));
@@ -897,28 +966,66 @@
     fn an_end_is_said_only_when_durable() {
         let (mut book, id) = book(1);
         book.hold(&id, 0, hold("i-1"));
-        let (_, w) = book.next_txn(fence(), 16).unwrap();
+        let (_, w) = next(&mut book).unwrap();
         book.committed(&w, Revision(6));
         book.end(&id, JobStatus::Cancelled, "test");
         // Another controller may have read the end already: no older state may be said.
         assert_eq!(book.view(&id), None);
-        let (txn, w) = book.next_txn(fence(), 16).unwrap();
+        let (txn, w) = next(&mut book).unwrap();
         assert_eq!(txn.changes.len(), 2);
         let over = book.committed(&w, Revision(7));
         assert_eq!(over[0].1.status, JobStatus::Cancelled);
         assert_eq!(book.view(&id), None);
         // Its task is still counted; only its proven end removes the record, then the job.
-        let (_, w) = book.next_txn(fence(), 16).unwrap();
+        let (_, w) = next(&mut book).unwrap();
         book.committed(&w, Revision(8));
         assert_eq!(book.usage["t"].cpus, 1.0);
         book.free(&id, 0, false);
         assert_eq!(book.usage["t"].cpus, 0.0);
-        let (txn, w) = book.next_txn(fence(), 16).unwrap();
+        let (txn, w) = next(&mut book).unwrap();
         assert!(matches!(txn.changes[0], Change::Delete { .. }));
         book.committed(&w, Revision(9));
         assert!(book.get(&id).is_none());
     }
 
+    /// Ends of tasks wait for each other, and the end of the job takes its record with it: one
+    /// write a task used up the budget of changes, and submissions were turned away.
+    #[test]
+    fn ends_of_tasks_share_a_write_and_the_jobs_end_removes_the_record() {
+        let (mut book, id) = book(3);
+        (0..3).for_each(|i| assert!(book.hold(&id, i, hold("i-1"))));
+        let (_, w) = book.next_txn(fence(), 16, Mono(0)).unwrap();
+        book.committed(&w, Revision(6));
+        book.free(&id, 0, true);
+        assert!(book.next_txn(fence(), 16, Mono(1)).is_none(), "nobody waits for it");
+        let (txn, w) = next(&mut book).unwrap();
+        assert_eq!(txn.changes.len(), 1);
+        book.committed(&w, Revision(7));
+        book.free(&id, 1, true);
+        book.free(&id, 2, true);
+        book.end(&id, JobStatus::Done, "test");
+        let (txn, w) = book.next_txn(fence(), 16, Mono(2)).unwrap();
+        assert_eq!(txn.changes.len(), 3, "{txn:?}");
+        assert_eq!(book.committed(&w, Revision(8)).len(), 1);
+        assert!(book.get(&id).is_none());
+        assert!(book.next_txn(fence(), 16, Mono(u64::MAX)).is_none());
+    }
+
+    /// A record first written along with its job's end is removed all the same.
+    #[test]
+    fn a_record_written_with_the_end_is_removed() {
+        let (mut book, id) = book(1);
+        book.hold(&id, 0, hold("i-1"));
+        book.end(&id, JobStatus::Cancelled, "test");
+        book.free(&id, 0, false);
+        let (_, w) = book.next_txn(fence(), 16, Mono(0)).unwrap();
+        book.committed(&w, Revision(6));
+        let (txn, w) = next(&mut book).unwrap();
+        assert!(matches!(txn.changes[..], [Change::Delete { .. }]));
+        book.committed(&w, Revision(7));
+        assert!(book.get(&id).is_none());
+    }
+
     /// A reloaded record gives the same holds and done tasks.
     #[test]
     fn records_reload_as_written() {
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -2,9 +2,11 @@
 //! and its answer.
 
 use crate::api::HttpReply;
+use crate::constants::NOTES_MACHINES_KEPT;
 use crate::types::{HostId, JobId, Token};
 use crate::wire::{JobSpec, Report};
 use serde::{Deserialize, Serialize};
+use std::collections::HashSet;
 use std::io::{Read, Write};
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -29,6 +31,20 @@
     pub arrivals: Vec<(JobSpec, Vec<u64>)>,
 }
 
+impl Notes {
+    /// News, with what the same leader told of other machines before. It tells of a part of the
+    /// fleet at a time, so that a note's size does not grow with the fleet.
+    pub fn joined(told: Option<Self>, mut news: Self) -> Self {
+        let Some(mut told) = told.filter(|told| told.token == news.token) else { return news };
+        let known: HashSet<HostId> = news.images.iter().map(|(host, _)| host.clone()).collect();
+        told.images.retain(|(host, _)| !known.contains(host));
+        let room = NOTES_MACHINES_KEPT.saturating_sub(news.images.len());
+        let from = told.images.len().saturating_sub(room);
+        news.images.splice(..0, told.images.drain(from..));
+        news
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Asked {
     pub id: u64,
@@ -69,6 +85,24 @@
 mod tests {
     use super::*;
 
+    /// Notes of parts of a fleet add up, within a bound, and a new leader's replace them: the
+    /// whole fleet in one note outgrew a frame.
+    #[test]
+    fn notes_of_parts_add_up_to_a_bound() {
+        let note = |token, hosts: std::ops::Range<usize>| Notes {
+            token: Token(token),
+            images: hosts.map(|n| (HostId::new(&format!("i-{n:06}")), Vec::new())).collect(),
+            ..Notes::default()
+        };
+        let told = Notes::joined(Some(note(1, 0..100)), note(1, 50..200));
+        assert_eq!(told.images.len(), 200);
+        let told = Notes::joined(Some(told), note(1, 200..2 * NOTES_MACHINES_KEPT));
+        assert!(told.images.len() >= NOTES_MACHINES_KEPT);
+        let told = Notes::joined(Some(note(1, 0..NOTES_MACHINES_KEPT)), note(1, 0..90));
+        assert_eq!(told.images.len(), NOTES_MACHINES_KEPT);
+        assert_eq!(Notes::joined(Some(told), note(2, 0..3)).images.len(), 3);
+    }
+
     #[test]
     fn frames_survive_the_trip_and_long_ones_are_refused() {
         let asked = Asked { id: 7, question: Question::Abort(JobId::new("req-1")) };
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -301,12 +301,7 @@
 
 /// Whether the services on a machine would find room on other live machines that have their
 /// images; its other tasks end by themselves.
-pub fn room_elsewhere(
-    now: Mono,
-    book: &Book,
-    fleet: &Fleet,
-    host: &HostId,
-) -> bool {
+pub fn room_elsewhere(now: Mono, book: &Book, fleet: &Fleet, host: &HostId) -> bool {
     let Some(machine) = fleet.machines.get(host) else { return false };
     let mut yard = Yard::new(fleet, &[], now);
     yard.leave_out(|m| m.id == *host || m.life == Life::Closing);
@@ -473,9 +468,9 @@
         for site in &sites {
             let mark = self.mark(job);
             let mut places = Places::new(self, &need, job.zones.clone(), site.as_ref());
-            let placed = tasks.iter().all(|_| {
-                places.live(self, &need).is_some() || places.later(self, &need, true)
-            });
+            let placed = tasks
+                .iter()
+                .all(|_| places.live(self, &need).is_some() || places.later(self, &need, true));
             if placed {
                 break;
             }
--- a/src/placement/slots.rs
+++ b/src/placement/slots.rs
@@ -169,9 +169,8 @@
     }
 
     fn kind(&mut self, flavor: &'a Flavor, zone: &Zone, spot: bool) -> usize {
-        let same = |(f, z, s): &(&Flavor, Zone, bool)| {
-            *s == spot && std::ptr::eq(*f, flavor) && z == zone
-        };
+        let same =
+            |(f, z, s): &(&Flavor, Zone, bool)| *s == spot && std::ptr::eq(*f, flavor) && z == zone;
         self.kinds.iter().position(same).unwrap_or_else(|| {
             self.kinds.push((flavor, zone.clone(), spot));
             self.counts.push(0);
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -15,6 +15,7 @@
 };
 use crate::workers::{Fleet, Freshness, Image, Life, Machine, Room};
 use std::collections::{BTreeMap, HashMap};
+use std::ops::Bound;
 use std::sync::Arc;
 
 /// Where a new leader stands.
@@ -61,6 +62,8 @@
     shown: HashMap<String, ClassBias>,
     /// Images that an earlier leader knew to be on machines that have not reported yet.
     recalled: HashMap<HostId, Vec<Image>>,
+    /// The last machine whose images the peers were told of.
+    noted: HostId,
     last_move: Mono,
     expected: Vec<(Job, u32)>,
     place_dirty: bool,
@@ -85,6 +88,7 @@
             paced: HashMap::new(),
             shown: HashMap::new(),
             recalled: HashMap::new(),
+            noted: HostId::new(""),
             last_move: Mono(0),
             expected: Vec::new(),
             place_dirty: true,
@@ -104,20 +108,36 @@
         );
         self.stage = stage;
         self.place_dirty = true;
+        if stage == Stage::Ruling {
+            // Guards against a leader that ended between writing the last task and the job's end.
+            let complete =
+                |(_, j): &(&JobId, &Job)| j.state == JobState::Open && j.done == j.spec.tasks;
+            let ids: Vec<JobId> =
+                self.book.jobs.iter().filter(complete).map(|(id, _)| id.clone()).collect();
+            for id in ids {
+                self.book.end(&id, JobStatus::Done, "all tasks were done");
+            }
+        }
     }
 
-    /// What the next leader would have to learn anew.
-    pub fn notes(&self, now: Mono) -> Notes {
-        let images = self
+    /// What the next leader would have to learn anew: the images of the next few machines, and
+    /// all the rest.
+    pub fn notes(&mut self, now: Mono) -> Notes {
+        let after = (Bound::Excluded(self.noted.clone()), Bound::Unbounded);
+        let images: Vec<(HostId, Vec<(String, f64)>)> = self
             .fleet
             .machines
-            .values()
+            .range(after)
+            .map(|(_, m)| m)
             .filter(|m| m.images.iter().any(|i| i.ready))
+            .take(NOTES_MACHINES)
             .map(|m| {
                 let ready = m.images.iter().filter(|i| i.ready);
                 (m.id.clone(), ready.map(|i| (i.name.clone(), i.gb)).collect())
             })
             .collect();
+        let next = images.last().filter(|_| images.len() == NOTES_MACHINES);
+        self.noted = next.map_or_else(|| HostId::new(""), |(host, _)| host.clone());
         let mut arrivals: BTreeMap<&str, (JobSpec, Vec<u64>)> = BTreeMap::new();
         for (at, spec) in &self.book.arrivals {
             let entry =
@@ -1029,8 +1049,7 @@
             }
             return;
         }
-        let roomy =
-            |host: &HostId| placement::room_elsewhere(now, &self.book, &self.fleet, host);
+        let roomy = |host: &HostId| placement::room_elsewhere(now, &self.book, &self.fleet, host);
         let mut least: Vec<(f64, HostId)> = self
             .fleet
             .machines
--- a/src/store.rs
+++ b/src/store.rs
@@ -95,6 +95,8 @@
     queue: VecDeque<Waiting>,
     purposes: HashMap<OpId, (Lane, P)>,
     open_inflight: usize,
+    /// Changes that the writer has had beyond those of submissions.
+    ahead: f64,
     paused_until: Mono,
     next: u64,
     last_good: Mono,
@@ -103,6 +105,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QueueFull;
 
+/// Changes that an operation makes.
+fn cost(op: &StoreOp) -> f64 {
+    match op {
+        StoreOp::Txn(txn) => txn.changes.len() as f64,
+        _ => 0.0,
+    }
+}
+
 impl<P> StoreClient<P> {
     pub fn new(facts: &StateFacts) -> Self {
         let rates = (facts.rps, facts.write_rps);
@@ -113,6 +123,7 @@
             queue: VecDeque::new(),
             purposes: HashMap::new(),
             open_inflight: 0,
+            ahead: 0.0,
             paused_until: Mono(0),
             next: 0,
             last_good: Mono(0),
@@ -155,39 +166,47 @@
         Ok(id)
     }
 
-    /// Sends what the budgets allow. The writer's transaction goes before users' requests.
+    /// Sends what the budgets allow.
     pub fn pump(&mut self, now: Mono, out: &mut Vec<(OpId, Lane, StoreOp)>) {
         self.requests.refill(now);
         self.writes.refill(now);
         if now < self.paused_until {
             return;
         }
-        while let Some(at) = self.pick() {
-            let cost = match &self.queue[at].op {
-                StoreOp::Txn(txn) => txn.changes.len() as f64,
-                _ => 0.0,
-            };
-            // A transaction larger than what the bucket can ever hold goes once the bucket is full.
-            let need = cost.min((self.writes.rate / 2.0).max(1.0));
-            if self.requests.level < 1.0 || self.writes.level < need {
-                return;
-            }
+        while self.requests.level >= 1.0
+            && let Some(at) = self.pick()
+            && let Some(item) = self.queue.remove(at)
+        {
+            let cost = cost(&item.op);
             self.requests.level -= 1.0;
             self.writes.level -= cost;
-            if let Some(item) = self.queue.remove(at) {
-                if item.lane == Lane::Open {
-                    self.open_inflight += 1;
-                }
-                out.push((item.id, item.lane, item.op));
+            if item.lane == Lane::Open {
+                self.open_inflight += 1;
+                self.ahead -= cost;
+            } else {
+                self.ahead += cost;
             }
+            self.ahead = self.ahead.clamp(-AHEAD_MOST, AHEAD_MOST);
+            out.push((item.id, item.lane, item.op));
         }
     }
 
+    /// What goes next: the writer's transaction and submissions share the changes evenly. Guards
+    /// against submissions that are turned away because the book is always being written, and
+    /// against a book that is not written because of submissions. Reads need not wait for either.
     fn pick(&self) -> Option<usize> {
-        if let Some(at) = self.queue.iter().position(|w| w.lane == Lane::Write) {
-            return Some(at);
-        }
-        (self.open_inflight < STORE_INFLIGHT && !self.queue.is_empty()).then_some(0)
+        let write = self.queue.iter().position(|w| w.lane != Lane::Open);
+        let may_open = self.open_inflight < STORE_INFLIGHT;
+        let mut open =
+            self.queue.iter().enumerate().filter(|(_, w)| may_open && w.lane == Lane::Open);
+        let first = open.clone().next().map(|(at, _)| at);
+        let next = if self.ahead > 0.0 { first.or(write) } else { write.or(first) };
+        // A transaction larger than what the bucket can ever hold goes once the bucket is full.
+        let affordable = |at: &usize| {
+            let need = cost(&self.queue[*at].op).min((self.writes.rate / 2.0).max(1.0));
+            need <= 0.0 || self.writes.level >= need
+        };
+        next.filter(affordable).or_else(|| open.find(|(_, w)| cost(&w.op) <= 0.0).map(|(at, _)| at))
     }
 
     /// Operations that waited too long; they were never sent.
@@ -245,6 +264,47 @@
         assert!(store.queue.len() < STORE_QUEUE);
     }
 
+    /// A submission waits for one transaction of the writer at most, and a read for none.
+    #[test]
+    fn submissions_and_the_writer_take_turns() {
+        let mut store = client();
+        store.lead(true);
+        let txn = |n: usize| {
+            let delete = |i| crate::wire::Change::Delete { key: format!("asg/{i}") };
+            StoreOp::Txn(Txn { conditions: Vec::new(), changes: (0..n).map(delete).collect() })
+        };
+        let mut sent = Vec::new();
+        let (mut changes, mut left) = ([0, 0], 0);
+        for ms in (0..60_000).step_by(10) {
+            let now = Mono(ms);
+            // As if a transaction were always waiting, and four submissions came a second.
+            if !store.queue.iter().any(|w| w.lane == Lane::Write) {
+                assert!(store.submit(now, Lane::Write, txn(16), 1, &mut sent).is_ok());
+            }
+            if ms % 250 == 0 {
+                assert!(store.submit(now, Lane::Open, txn(1), 2, &mut sent).is_ok());
+            }
+            store.pump(now, &mut sent);
+            for late in store.expired(now) {
+                left += 1;
+                let _ = store.answered(now, late, &StoreReply::Unsent, 0.0);
+            }
+            for (id, lane, op) in sent.split_off(0) {
+                changes[usize::from(lane == Lane::Open)] += cost(&op) as u32;
+                assert!(store.answered(now, id, &StoreReply::Touched, 0.0).is_some());
+            }
+        }
+        assert_eq!(left, 0, "submissions were turned away");
+        assert!(changes[1] > 230 && changes[0] > 500, "{changes:?}");
+        // With the changes used up, reads go on.
+        let now = Mono(60_000);
+        store.writes.level = -10.0;
+        assert!(
+            store.submit(now, Lane::Open, StoreOp::Get { key: "k".into() }, 3, &mut sent).is_ok()
+        );
+        assert_eq!(sent.len(), 1);
+    }
+
     #[test]
     fn the_queue_is_bounded_and_leases_pass_it_by() {
         let mut store = client();
