One thread waits for all sockets; followers pass on a bounded number of reports

The HTTP library starts a thread for each connection; with 1,700 workers and their users no further thread could be had, its accepting thread panicked, and so did three client threads, for which the HTTP client looks addresses up on threads of their own. Workers turned away by an outage then went to and fro between followers at 3,000 reports a second. Ruled out: processor time, the leader's lease, memory.

Change: edge::server waits for all sockets on one thread with mio and reads requests with httparse, since a thread a connection does not fit these machines; connections are capped below the socket limit, idle and slow ones are closed, a failed accept costs only itself. Numeric addresses are not looked up. relay decides what followers do with reports: at most 40 at a first visit are passed on, and none for a second after the leader refused one or could not be reached. A line of the debug log tells what came in.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -126,6 +126,15 @@
 pub const COME_BACK_MS: Millis = Millis(12_000);
 /// How long such a worker's reports are passed on before it is sent to the leader again.
 pub const RELAY_MS: Millis = Millis(15_000);
+/// Workers whose reports are passed on at their first visit: a few need it at once, a fleet that
+/// comes by after an outage does not.
+pub const RELAY_AT_ONCE: usize = 40;
+/// How long a leader that refused a report, or could not be reached, is not asked again.
+pub const LINE_PAUSE_MS: Millis = Millis(1_000);
+/// How often workers that stayed away are forgotten.
+pub const RELAY_SWEEP_MS: Millis = Millis(1_000);
+/// Period of the log's line on what came in.
+pub const TRAFFIC_EVERY_MS: Millis = Millis(5_000);
 /// Failures of different jobs that make a machine faulty.
 pub const FAULTY_ERRORS: usize = 2;
 /// A job that failed on this many machines is taken to be at fault itself.
@@ -219,10 +228,20 @@
 pub const INPUT_QUEUE: usize = 2_000;
 /// Longest sleep of the core thread; the grain of its timers.
 pub const CORE_WAKE_MS: Millis = Millis(50);
-/// Bodies up to this size arrive whole with their request (a trait of the HTTP library).
-pub const INLINE_BODY_BYTES: usize = 1_024;
-/// Threads that read larger bodies, at most.
-pub const BODY_READERS: usize = 64;
+/// Sockets kept for this controller's own calls and its peers.
+pub const OWN_SOCKETS: usize = 100;
+/// Headers in one request, at most.
+pub const MOST_HEADERS: usize = 64;
+/// Longest head of a request.
+pub const HEAD_BYTES: usize = 8 * 1024;
+/// Bytes read from a socket at once; most requests are shorter.
+pub const READ_BYTES: usize = 16 * 1024;
+/// Period of looking for idle connections.
+pub const SOCKET_SWEEP_MS: Millis = Millis(1_000);
+/// A connection without a request is closed after this long.
+pub const IDLE_CONNECTION_MS: Millis = Millis(120_000);
+/// A connection that is slow to send a request or to take its answer is closed after this long.
+pub const SLOW_REQUEST_MS: Millis = Millis(15_000);
 /// Largest answer read from a service: a page is 512 KiB, a watch has no limit of its own.
 pub const ANSWER_BYTES: u64 = 16 * 1024 * 1024;
 /// Calls that may wait for a client thread.
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -9,6 +9,7 @@
 use crate::mesh::{Notes, Question};
 use crate::placement;
 use crate::reign::{Reign, Stage};
+use crate::relay::{Relays, Way};
 use crate::settings::{Operators, Settings};
 use crate::store::{Lane, OpId, StoreClient, StoreOp, StoreReply};
 use crate::types::*;
@@ -86,15 +87,20 @@
     Resolving(Vec<Item>),
 }
 
-/// A worker that was sent on to the leader.
-#[derive(Debug)]
-struct Relay {
-    /// Since when its reports are passed on, if they are.
-    since: Option<Mono>,
-    until: Mono,
+/// What came in since the last line of the log that told of it.
+#[derive(Debug, Default)]
+struct Traffic {
+    answered: u32,
+    passed_on: u32,
+    sent_on: u32,
+    refused: u32,
+    users: u32,
+    probes: u32,
 }
 
 pub struct Controller {
+    traffic: Traffic,
+    next_line: Mono,
     settings: Settings,
     ops: Operators,
     rng: ChaCha8Rng,
@@ -108,8 +114,7 @@
     open: BTreeMap<ConnId, Mono>,
     waiting_end: HashMap<JobId, Vec<ConnId>>,
     asks: HashMap<u64, (ConnId, Question, Mono)>,
-    /// Workers sent on to the leader lately, and those whose reports are passed on.
-    sent_on: HashMap<HostId, Relay>,
+    relays: Relays,
     cloud_ops: HashMap<u64, (CloudOp, Token)>,
     next_id: u64,
     writer: Writer,
@@ -140,7 +145,9 @@
             open: BTreeMap::new(),
             waiting_end: HashMap::new(),
             asks: HashMap::new(),
-            sent_on: HashMap::new(),
+            relays: Relays::default(),
+            traffic: Traffic::default(),
+            next_line: Mono(0),
             cloud_ops: HashMap::new(),
             next_id: 0,
             writer: Writer::Idle,
@@ -197,6 +204,14 @@
             }
         }
         self.was_valid = valid;
+        if mono >= self.next_line {
+            self.next_line = mono.plus(TRAFFIC_EVERY_MS);
+            log::debug!(
+                "traffic: {:?}, {} waiting",
+                std::mem::take(&mut self.traffic),
+                self.open.len()
+            );
+        }
         self.pass_notes(mono);
         self.write(mono);
         self.watch(mono);
@@ -564,11 +579,19 @@
         self.open.insert(conn, now.mono.plus(REQUEST_PATIENCE_MS));
         match request {
             Request::Up => {
+                self.traffic.probes += 1;
                 let reply = self.up(now.mono);
                 self.reply(conn, reply);
             }
             Request::Report(report) => {
-                if let Some(reply) = self.on_report(now.mono, conn, &report, forwarded) {
+                let reply = self.on_report(now.mono, conn, &report, forwarded);
+                *match reply.as_ref().map(|reply| reply.status) {
+                    None => &mut self.traffic.passed_on,
+                    Some(200) => &mut self.traffic.answered,
+                    Some(421) => &mut self.traffic.sent_on,
+                    Some(_) => &mut self.traffic.refused,
+                } += 1;
+                if let Some(reply) = reply {
                     self.reply(conn, reply);
                 }
             }
@@ -578,10 +601,17 @@
                 self.reply(conn, HttpReply::json(200, &serde_json::json!({})));
             }
             _ if self.open.len() > USER_INFLIGHT => {
+                self.traffic.users += 1;
                 self.reply(conn, HttpReply::later("too many requests at once"));
             }
-            Request::Submit(submission) => self.on_submit(now, conn, submission),
-            Request::View(id) => self.on_question(now, conn, Question::View(id), forwarded),
+            Request::Submit(submission) => {
+                self.traffic.users += 1;
+                self.on_submit(now, conn, submission);
+            }
+            Request::View(id) => {
+                self.traffic.users += 1;
+                self.on_question(now, conn, Question::View(id), forwarded);
+            }
             Request::Abort(id) => self.on_question(now, conn, Question::Abort(id), forwarded),
         }
     }
@@ -616,42 +646,26 @@
             } else if let Some(answer) = reign.on_report(report, now) {
                 return Some(HttpReply::json(200, &answer));
             }
-            return Some(HttpReply::error(503, "not now"));
+            // Not 503, which would tell a controller that passed it on that this one cannot lead.
+            return Some(HttpReply::error(409, "an older report, or a machine that was returned"));
         }
         let leader = self.leadership.other_leader().filter(|_| !forwarded).cloned();
         let Some(leader) = leader else {
             return Some(HttpReply::error(503, "no leader is known"));
         };
-        // One that has obeyed this very leader before would still be there if it could.
         let obeyed = self.leadership.leader_token() == Some(report.token);
-        if self.relays(&report.host, obeyed, now) {
-            self.ask(now, conn, leader, Question::Report(Box::new(report.clone())));
-            return None;
-        }
-        Some(HttpReply::json(421, &Redirect { leader: Some(leader) }))
-    }
-
-    /// Whether a worker's reports are to be passed on. Guards against a cut between the leader's
-    /// zone and the worker's, which a third zone can bridge: a worker that comes back soon after
-    /// it was sent to the leader could not reach it.
-    fn relays(&mut self, host: &HostId, obeyed: bool, now: Mono) -> bool {
-        self.sent_on.retain(|_, relay| now < relay.until);
-        match self.sent_on.get_mut(host) {
-            Some(relay) if relay.since.is_some_and(|since| now.since(since) >= RELAY_MS) => {
-                *relay = Relay { since: None, until: now.plus(COME_BACK_MS) };
-                false
+        match self.relays.way(&report.host, obeyed, now) {
+            Way::PassOn => {
+                self.ask(now, conn, leader, Question::Report(Box::new(report.clone())));
+                None
             }
-            Some(relay) => {
-                relay.since.get_or_insert(now);
-                relay.until = now.plus(COME_BACK_MS);
-                true
-            }
-            None => {
-                let since = obeyed.then_some(now);
-                let relay = Relay { since, until: now.plus(COME_BACK_MS) };
-                self.sent_on.insert(host.clone(), relay);
-                obeyed
+            Way::SendOn => Some(HttpReply::json(421, &Redirect { leader: Some(leader) })),
+            Way::Elsewhere => {
+                let third = self.settings.peers.iter().find(|p| p.member != leader);
+                let leader = third.map(|peer| peer.member.clone());
+                Some(HttpReply::json(421, &Redirect { leader }))
             }
+            Way::Wait => Some(HttpReply::error(503, "the leader takes no reports at present")),
         }
     }
 
@@ -792,18 +806,8 @@
             Question::View(id) => self.lookup(now, conn, id, Why::View),
             Question::Abort(id) => self.lookup(now, conn, id, Why::Abort),
             Question::Notes(_) => {}
-            Question::Report(_) => {
-                // This node cannot reach the leader either; a third one may.
-                let leader = self.leadership.other_leader();
-                let third = self.settings.peers.iter().find(|p| Some(&p.member) != leader);
-                let reply = match (leader, third) {
-                    (Some(_), Some(peer)) => {
-                        HttpReply::json(421, &Redirect { leader: Some(peer.member.clone()) })
-                    }
-                    _ => HttpReply::error(503, "no leader answers"),
-                };
-                self.reply(conn, reply);
-            }
+            // The worker tries the next node in a second.
+            Question::Report(_) => self.reply(conn, HttpReply::error(503, "no leader answers")),
         }
     }
 
@@ -811,6 +815,9 @@
         let Some((conn, question, _)) = self.asks.remove(&id) else {
             return;
         };
+        if matches!(question, Question::Report(_)) {
+            self.relays.told(reply.as_ref().map(|reply| reply.status), now.mono);
+        }
         match reply {
             Some(reply) if reply.status != 503 => {
                 self.last_told = now.mono;
--- a/src/edge/clients.rs
+++ b/src/edge/clients.rs
@@ -13,6 +13,8 @@
 use serde_json::json;
 use std::time::Duration;
 use ureq::Agent;
+use ureq::unversioned::resolver::{DefaultResolver, ResolvedSocketAddrs, Resolver};
+use ureq::unversioned::transport::{DefaultConnector, NextTimeout};
 
 pub(crate) struct Clients {
     vital: Sender<(OpId, StoreOp)>,
@@ -29,6 +31,29 @@
     base: String,
 }
 
+/// Takes numeric addresses as they are. Guards against a thread for every look-up, which the
+/// library starts otherwise and which ended the caller's when no thread could be had.
+#[derive(Debug)]
+struct Numeric(DefaultResolver);
+
+impl Resolver for Numeric {
+    fn resolve(
+        &self,
+        uri: &ureq::http::Uri,
+        config: &ureq::config::Config,
+        timeout: NextTimeout,
+    ) -> Result<ResolvedSocketAddrs, ureq::Error> {
+        match uri.authority().and_then(|a| a.as_str().parse().ok()) {
+            Some(address) => {
+                let mut found = self.empty();
+                found.push(address);
+                Ok(found)
+            }
+            None => self.0.resolve(uri, config, timeout),
+        }
+    }
+}
+
 impl Caller {
     fn new(address: &str, timeout: Millis) -> Self {
         let config = Agent::config_builder()
@@ -37,7 +62,9 @@
             .max_idle_connections(2)
             .max_idle_connections_per_host(2)
             .build();
-        Self { agent: Agent::new_with_config(config), base: format!("http://{address}") }
+        let resolver = Numeric(DefaultResolver::default());
+        let agent = Agent::with_parts(config, DefaultConnector::default(), resolver);
+        Self { agent, base: format!("http://{address}") }
     }
 
     fn finish(result: Result<ureq::http::Response<ureq::Body>, ureq::Error>) -> Raw {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -1,6 +1,7 @@
 //! Threads, sockets and clocks: everything that is not deterministic.
 
 mod clients;
+mod http;
 mod mesh_io;
 mod server;
 
@@ -32,7 +33,7 @@
 
 /// Whom an answer goes to.
 enum Responder {
-    Http(Box<tiny_http::Request>),
+    Http(server::Caller),
     Mesh(mesh_io::Answerer),
 }
 
@@ -64,6 +65,7 @@
     clock: Clock,
     waiting: HashMap<ConnId, Responder>,
     next_conn: u64,
+    answers: server::Answers,
     clients: clients::Clients,
     mesh: HashMap<Member, Sender<crate::mesh::Asked>>,
 }
@@ -71,7 +73,8 @@
 /// Runs a controller until the process is killed.
 pub fn run(settings: Settings, ops: Operators) -> Result<(), EdgeError> {
     let (inputs, events) = bounded(INPUT_QUEUE);
-    server::start(&settings.listen, inputs.clone())?;
+    let sockets = settings.facts.limits.sockets.saturating_sub(OWN_SOCKETS).max(OWN_SOCKETS);
+    let answers = server::start(&settings.listen, sockets, inputs.clone())?;
     mesh_io::serve(&settings.mesh_listen, inputs.clone())?;
     let mut mesh = HashMap::new();
     for peer in &settings.peers {
@@ -86,6 +89,7 @@
         clock: Clock { start: Instant::now() },
         waiting: HashMap::new(),
         next_conn: 0,
+        answers,
         clients,
         mesh,
     };
@@ -98,7 +102,11 @@
         loop {
             let event = match events.recv_timeout(Duration::from_millis(CORE_WAKE_MS.0)) {
                 Ok(Input::Event(event)) => Some(event),
-                Ok(Input::Http(incoming)) => self.take_http(incoming),
+                Ok(Input::Http(incoming)) => {
+                    let conn = self.register(Responder::Http(incoming.caller));
+                    let request = incoming.request;
+                    Some(Event::Request { conn, request, forwarded: false })
+                }
                 Ok(Input::Mesh(question)) => {
                     let conn = self.register(Responder::Mesh(question.answerer));
                     Some(Event::Request { conn, request: question.request, forwarded: true })
@@ -126,19 +134,6 @@
         conn
     }
 
-    fn take_http(&mut self, incoming: server::Incoming) -> Option<Event> {
-        match incoming.parsed {
-            Ok(request) => {
-                let conn = self.register(Responder::Http(incoming.request));
-                Some(Event::Request { conn, request, forwarded: false })
-            }
-            Err(reply) => {
-                server::respond(*incoming.request, reply);
-                None
-            }
-        }
-    }
-
     /// Performs an action; what cannot even be begun comes back as its failure.
     fn perform(&mut self, action: Action) -> Option<Event> {
         match action {
@@ -158,7 +153,7 @@
 
     fn answer(&mut self, conn: ConnId, reply: HttpReply) {
         match self.waiting.remove(&conn) {
-            Some(Responder::Http(request)) => server::respond(*request, reply),
+            Some(Responder::Http(caller)) => self.answers.send(caller, reply),
             Some(Responder::Mesh(answerer)) => answerer.answer(reply),
             None => {}
         }
--- a/src/edge/server.rs
+++ b/src/edge/server.rs
@@ -1,117 +1,316 @@
-//! The HTTP server for users, workers and health checks.
+//! The HTTP server for users, workers and health checks: one thread that waits for all sockets.
+//! A thread for each connection, as the house's usual library has it, does not fit a leader with
+//! thousands of workers: past the system's limit of threads it stopped accepting for good.
 
+use super::http::{Parsed, Wire};
 use super::{EdgeError, Input, spawn};
 use crate::api::{self, HttpReply};
 use crate::constants::*;
+use crate::types::Millis;
 use crossbeam::channel::{Receiver, Sender, bounded};
-use std::io::Read;
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Token, Waker};
+use std::collections::HashMap;
+use std::io::{ErrorKind, Read, Write};
+use std::net::ToSocketAddrs;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use tiny_http::{Header, Request, Response, Server, StatusCode};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+/// A connection that waits for the core's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Caller(usize);
 
 pub(crate) struct Incoming {
-    pub request: Box<Request>,
-    pub parsed: Result<api::Request, HttpReply>,
+    pub caller: Caller,
+    pub request: api::Request,
 }
 
-pub(crate) fn start(address: &str, inputs: Sender<Input>) -> Result<(), EdgeError> {
-    let server = Server::http(address)
-        .map_err(|e| EdgeError::Listen { address: address.to_owned(), cause: e.to_string() })?;
-    spawn("http", move || accept(&server, &inputs))?;
-    Ok(())
+/// Takes the core's answers to the server's thread.
+pub(crate) struct Answers {
+    queue: Sender<(Caller, HttpReply)>,
+    waker: Waker,
+    /// Whether the thread has been woken and has not looked yet.
+    woken: Arc<AtomicBool>,
 }
 
-/// Small bodies are in memory already when the request arrives; larger ones are read by threads of
-/// their own, so that one slow sender holds up nobody else.
-fn accept(server: &Server, inputs: &Sender<Input>) {
-    let (large, queue) = bounded::<Request>(BODY_READERS);
-    let readers = Readers {
-        queue,
-        count: Arc::new(AtomicUsize::new(0)),
-        idle: Arc::new(AtomicUsize::new(0)),
-    };
-    loop {
-        let request = match server.recv() {
-            Ok(request) => request,
-            Err(e) => {
-                log::warn!("http: {e}");
-                continue;
-            }
-        };
-        match request.body_length() {
-            Some(length) if length > BODY_BYTES => {
-                respond(request, HttpReply::error(413, "the body is over 64 KiB"));
-            }
-            Some(length) if length <= INLINE_BODY_BYTES => take(request, inputs),
-            None if !matches!(request.method(), tiny_http::Method::Post) => take(request, inputs),
-            _ => {
-                readers.grow(inputs);
-                if let Err(full) = large.try_send(request) {
-                    respond(full.into_inner(), HttpReply::later("too many large requests"));
+impl Answers {
+    pub fn send(&self, caller: Caller, reply: HttpReply) {
+        if self.queue.send((caller, reply)).is_err() || self.woken.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        if let Err(e) = self.waker.wake() {
+            log::warn!("http: the server could not be woken: {e}");
+        }
+    }
+}
+
+const LISTENER: Token = Token(0);
+const WAKER: Token = Token(1);
+const FIRST_CONNECTION: usize = 2;
+
+/// What a connection is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// A request is awaited or half here.
+    Reading,
+    /// The core has the request.
+    Waiting,
+    /// The answer is being written.
+    Writing,
+}
+
+struct Connection {
+    stream: TcpStream,
+    phase: Phase,
+    wire: Wire,
+    /// Since when it has been in its phase, or, while reading, since the last byte.
+    since: Instant,
+    /// The other side has closed its half.
+    ended: bool,
+}
+
+/// Whether a connection goes on.
+#[derive(PartialEq)]
+enum Next {
+    Keep,
+    Close,
+}
+
+impl Connection {
+    /// The one place where the phase changes.
+    fn enter(&mut self, phase: Phase) {
+        self.phase = phase;
+        self.since = Instant::now();
+    }
+
+    /// Reads what is there, though no more than a request may have.
+    fn read(&mut self, scratch: &mut [u8]) -> Next {
+        while !self.wire.full() {
+            match self.stream.read(scratch) {
+                Ok(0) => {
+                    self.ended = true;
+                    return Next::Keep;
+                }
+                Ok(count) => {
+                    self.wire.take_in(&scratch[..count]);
+                    self.since = Instant::now();
+                    if count < scratch.len() && self.wire.complete() {
+                        // A short read took all there was; the next byte raises a new event.
+                        return Next::Keep;
+                    }
                 }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Next::Keep,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return Next::Close,
             }
         }
+        Next::Keep
+    }
+
+    fn write(&mut self) -> Next {
+        while !self.wire.out().is_empty() {
+            match self.stream.write(self.wire.out()) {
+                Ok(0) => return Next::Close,
+                Ok(count) => self.wire.written(count),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Next::Keep,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return Next::Close,
+            }
+        }
+        Next::Keep
     }
 }
 
-struct Readers {
-    queue: Receiver<Request>,
-    count: Arc<AtomicUsize>,
-    idle: Arc<AtomicUsize>,
+struct Server {
+    poll: Poll,
+    listener: TcpListener,
+    connections: HashMap<usize, Connection>,
+    next: usize,
+    most: usize,
+    inputs: Sender<Input>,
+    scratch: Box<[u8]>,
 }
 
-impl Readers {
-    /// Starts another reader if none is idle, up to the cap.
-    fn grow(&self, inputs: &Sender<Input>) {
-        if self.idle.load(Ordering::Relaxed) > 0
-            || self.count.load(Ordering::Relaxed) >= BODY_READERS
-        {
-            return;
+pub(crate) fn start(
+    address: &str,
+    most: usize,
+    inputs: Sender<Input>,
+) -> Result<Answers, EdgeError> {
+    let failed = |cause: String| EdgeError::Listen { address: address.to_owned(), cause };
+    let socket = address
+        .to_socket_addrs()
+        .map_err(|e| failed(e.to_string()))?
+        .next()
+        .ok_or_else(|| failed("no address".into()))?;
+    let poll = Poll::new()?;
+    let mut listener = TcpListener::bind(socket).map_err(|e| failed(e.to_string()))?;
+    poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
+    let waker = Waker::new(poll.registry(), WAKER)?;
+    // Every connection has one answer under way at most.
+    let (queue, answers) = bounded(most + INPUT_QUEUE);
+    let woken = Arc::new(AtomicBool::new(false));
+    let mut server = Server {
+        poll,
+        listener,
+        connections: HashMap::new(),
+        next: FIRST_CONNECTION,
+        most,
+        inputs,
+        scratch: vec![0; READ_BYTES].into_boxed_slice(),
+    };
+    let seen = woken.clone();
+    spawn("http", move || server.serve(&answers, &seen))?;
+    Ok(Answers { queue, waker, woken })
+}
+
+impl Server {
+    fn serve(&mut self, answers: &Receiver<(Caller, HttpReply)>, woken: &AtomicBool) {
+        let mut events = Events::with_capacity(256);
+        let sweep = Duration::from_millis(SOCKET_SWEEP_MS.0);
+        let mut swept = Instant::now();
+        loop {
+            if let Err(e) = self.poll.poll(&mut events, Some(sweep))
+                && e.kind() != ErrorKind::Interrupted
+            {
+                log::warn!("http: waiting for sockets failed: {e}");
+                std::thread::sleep(Duration::from_millis(CORE_WAKE_MS.0));
+            }
+            for event in &events {
+                match event.token() {
+                    LISTENER => self.accept(),
+                    WAKER => {}
+                    Token(key) => self.ready(key),
+                }
+            }
+            woken.store(false, Ordering::Release);
+            while let Ok((Caller(key), reply)) = answers.try_recv() {
+                self.answer(key, &reply);
+            }
+            if swept.elapsed() >= sweep {
+                swept = Instant::now();
+                self.sweep();
+                // A failed accept raises no further event: look again.
+                self.accept();
+            }
         }
-        let (queue, idle, inputs) = (self.queue.clone(), self.idle.clone(), inputs.clone());
-        let body = move || {
-            idle.fetch_add(1, Ordering::Relaxed);
-            while let Ok(request) = queue.recv() {
-                idle.fetch_sub(1, Ordering::Relaxed);
-                take(request, &inputs);
-                idle.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Takes all that wait. One that fails, or finds no room, costs only itself.
+    fn accept(&mut self) {
+        loop {
+            match self.listener.accept() {
+                Ok((stream, _)) => self.register(stream),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => {
+                    log::debug!("http: a connection could not be accepted: {e}");
+                    return;
+                }
             }
-        };
-        if spawn("body", body).is_ok() {
-            self.count.fetch_add(1, Ordering::Relaxed);
         }
     }
-}
 
-fn take(mut request: Request, inputs: &Sender<Input>) {
-    let mut body = Vec::new();
-    let limit = BODY_BYTES as u64 + 1;
-    if request.as_reader().take(limit).read_to_end(&mut body).is_err() {
-        return;
+    fn register(&mut self, mut stream: TcpStream) {
+        if self.connections.len() >= self.most {
+            log::debug!("http: {} connections are open; a further one is closed", self.most);
+            return;
+        }
+        let _ = stream.set_nodelay(true);
+        let key = self.next;
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        if self.poll.registry().register(&mut stream, Token(key), interest).is_err() {
+            return;
+        }
+        self.next += 1;
+        let (phase, since) = (Phase::Reading, Instant::now());
+        let wire = Wire::default();
+        let connection = Connection { stream, phase, wire, since, ended: false };
+        self.connections.insert(key, connection);
     }
-    let parsed = api::parse(request.method().as_str(), request.url(), &body);
-    let incoming = Incoming { request: Box::new(request), parsed };
-    if let Err(full) = inputs.try_send(Input::Http(incoming))
-        && let Input::Http(incoming) = full.into_inner()
-    {
-        respond(*incoming.request, HttpReply::later("busy"));
+
+    /// A socket may be read or written again.
+    fn ready(&mut self, key: usize) {
+        let Some(connection) = self.connections.get_mut(&key) else { return };
+        let mut next = connection.read(&mut self.scratch);
+        if next == Next::Keep && connection.phase == Phase::Writing {
+            next = connection.write();
+        }
+        if next == Next::Keep {
+            next = self.go_on(key);
+        }
+        if next == Next::Close {
+            self.connections.remove(&key);
+        }
     }
-}
 
-pub(crate) fn respond(request: Request, reply: HttpReply) {
-    let mut response = Response::from_string(reply.body)
-        .with_status_code(StatusCode(reply.status))
-        .with_chunked_threshold(usize::MAX);
-    let mut header = |name: &str, value: &str| {
-        if let Ok(header) = Header::from_bytes(name, value) {
-            response.add_header(header);
+    /// Does what the connection's phase and bytes allow.
+    fn go_on(&mut self, key: usize) -> Next {
+        loop {
+            let Some(connection) = self.connections.get_mut(&key) else { return Next::Keep };
+            match connection.phase {
+                Phase::Writing if !connection.wire.out().is_empty() => return Next::Keep,
+                Phase::Writing if connection.wire.closing() => return Next::Close,
+                Phase::Writing => {
+                    connection.enter(Phase::Reading);
+                    // Bytes that were left in the socket raise no further event.
+                    if connection.wire.begun() && connection.read(&mut self.scratch) == Next::Close
+                    {
+                        return Next::Close;
+                    }
+                }
+                Phase::Waiting => return Next::Keep,
+                Phase::Reading => {
+                    let parsed = match connection.wire.parse() {
+                        Parsed::More if connection.ended => return Next::Close,
+                        Parsed::More => return connection.write(),
+                        Parsed::Bad(reply) => Err(reply),
+                        Parsed::Request(parsed) => *parsed,
+                    };
+                    connection.enter(Phase::Waiting);
+                    let refusal = match parsed {
+                        Err(reply) => Some(reply),
+                        Ok(request) => {
+                            let incoming = Incoming { caller: Caller(key), request };
+                            let full = self.inputs.try_send(Input::Http(incoming)).is_err();
+                            full.then(|| HttpReply::later("busy"))
+                        }
+                    };
+                    let Some(reply) = refusal else { return Next::Keep };
+                    connection.wire.answer(&reply);
+                    connection.enter(Phase::Writing);
+                    if connection.write() == Next::Close {
+                        return Next::Close;
+                    }
+                }
+            }
         }
-    };
-    header("Content-Type", "application/json");
-    if let Some(seconds) = reply.retry_after_s {
-        header("Retry-After", &seconds.to_string());
     }
-    if let Err(e) = request.respond(response) {
-        log::debug!("http: an answer could not be sent: {e}");
+
+    fn answer(&mut self, key: usize, reply: &HttpReply) {
+        let Some(connection) = self.connections.get_mut(&key) else { return };
+        if connection.phase != Phase::Waiting {
+            return;
+        }
+        connection.wire.answer(reply);
+        connection.enter(Phase::Writing);
+        let next = match connection.write() {
+            Next::Keep => self.go_on(key),
+            Next::Close => Next::Close,
+        };
+        if next == Next::Close {
+            self.connections.remove(&key);
+        }
+    }
+
+    /// Closes connections on which nothing has happened for long.
+    fn sweep(&mut self) {
+        let old = |since: Instant, most: Millis| since.elapsed().as_millis() as u64 > most.0;
+        self.connections.retain(|_, c| match c.phase {
+            Phase::Reading if c.wire.begun() => !old(c.since, SLOW_REQUEST_MS),
+            Phase::Reading => !old(c.since, IDLE_CONNECTION_MS),
+            Phase::Waiting => true,
+            Phase::Writing => !old(c.since, SLOW_REQUEST_MS),
+        });
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod mesh;
 pub mod placement;
 pub mod reign;
+pub mod relay;
 pub mod scaling;
 pub mod settings;
 pub mod store;
