--- /dev/null
+++ b/tests/scale.rs
@@ -0,0 +1,193 @@
+//! What a placement pass costs on a fleet of many hundreds of machines, counted in looks at a
+//! machine and not in time, and whether its starts hold what they promise at that size.
+
+use oatloom::cloud::Kind;
+use oatloom::jobs::{Book, Hold, LiveRecord, RunSent};
+use oatloom::placement::{self, Inputs, Plan};
+use oatloom::settings::Settings;
+use oatloom::types::{Attempt, HostId, JobId, Millis, Mono, Now, Revision, Shift, Zone};
+use oatloom::wire::{Catalog, Flavor, JobSpec, Rank, Shape};
+use oatloom::workers::{Fleet, Life, Room};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, HashMap};
+
+const ZONES: [&str; 3] = ["a", "b", "c"];
+const NOW: Mono = Mono(1_000_000_000);
+
+fn settings() -> Settings {
+    toml::from_str(
+        r#"
+member = "n-0"
+location = "a"
+serve_on = "127.0.0.1:8080"
+mesh_addr = "127.0.0.1:8081"
+endpoints = { cloud = "127.0.0.1:1", state = "127.0.0.1:2" }
+[facts]
+zones = ["a", "b", "c"]
+clock_off_ms = 100.0
+teams = [{ name = "red" }]
+objectives = [{ kind = "wait", class = "quick", within_s = 10.0 }]
+workers = { report_s = 8.0, lease_s = 30.0, gang_wait_s = 40.0, gang_peer_s = 4.0, cancel_s = 50.0 }
+state = { rps = 200.0, write_rps = 50.0, value_kb = 16.0, txn_ops = 20 }
+cloud = { rps = 6.0, list_lag_s = 4.0 }
+limits = { cpu_share = 0.3, memory_mb = 200.0, sockets = 2500 }
+"#,
+    )
+    .expect("settings")
+}
+
+fn fleet(machines: usize) -> Fleet {
+    let flavor = Flavor {
+        label: "f".into(),
+        cpus: 48.0,
+        gpus: 4.0,
+        memory_gb: 192.0,
+        cache_gb: 100.0,
+        fetch_gb_per_s: 0.5,
+        price: 10.0,
+        spot_price: 4.0,
+        boot_s: 45.0,
+        zones: ZONES.iter().map(|z| Zone::new(z)).collect(),
+    };
+    let mut fleet = Fleet { catalog: Some(Catalog { flavors: vec![flavor] }), ..Fleet::default() };
+    for n in 0..machines {
+        let (host, zone) = (HostId::new(&format!("i-{n:06}")), Zone::new(ZONES[n % 3]));
+        let machine = fleet.adopt(&host, "f", &zone, n % 2 == 0, NOW, NOW);
+        machine.shift = Shift(1);
+        machine.enter(Life::Live, "test");
+    }
+    fleet
+}
+
+/// Jobs of every shape; a few sizes, as users have them.
+fn book(jobs: usize, rng: &mut ChaCha8Rng) -> Book {
+    let mut book = Book::default();
+    for n in 0..jobs {
+        let (shape, tasks, gpus, class) = match n % 4 {
+            0 => (Shape::Service, [4, 8, 12][rng.random_range(0..3)], 1.0, "quick"),
+            1 => (Shape::Array, rng.random_range(5..80), 1.0, "many"),
+            2 => (Shape::Gang, [1, 2, 4][rng.random_range(0..3)], 2.0, "quick"),
+            _ => (Shape::Gang, [1, 2, 4][rng.random_range(0..3)], 4.0, "whole"),
+        };
+        let spec = JobSpec {
+            id: JobId::new(&format!("req-{n:06}")),
+            class: class.into(),
+            team: "red".into(),
+            shape,
+            rank: [Rank::Critical, Rank::Standard, Rank::Standard, Rank::High][n % 4],
+            tasks,
+            cpus: 10.0 * gpus,
+            gpus,
+            memory_gb: 36.0 * gpus,
+            image: format!("img-{}", rng.random_range(0..12)),
+            image_gb: 5.0,
+            flavors: None,
+            zone: None,
+            one_zone: n % 8 == 2,
+            spread: shape == Shape::Service,
+            spot: shape != Shape::Service,
+            estimate_s: 60.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+        };
+        let now = Now { mono: NOW, wall_ms: 5_000 };
+        book.insert(LiveRecord { spec, wall_ms: 1_000 }, Revision(1), now);
+    }
+    book
+}
+
+fn pass(settings: &Settings, book: &mut Book, fleet: &Fleet, hire: bool) -> Plan {
+    let paced: HashMap<JobId, u32> = book.jobs.keys().map(|id| (id.clone(), 1_000)).collect();
+    let refused = |_: &Kind| !hire;
+    placement::plan(Inputs {
+        now: NOW.plus(Millis(1_000)),
+        settings,
+        book,
+        fleet,
+        paced: &paced,
+        awaited: Vec::new(),
+        expected: &[],
+        refused: &refused,
+    })
+}
+
+/// Takes a plan's starts up as a leader would, and checks what each must keep to.
+fn start(plan: &Plan, settings: &Settings, book: &mut Book, fleet: &mut Fleet) {
+    let mut started: BTreeMap<&JobId, u32> = BTreeMap::new();
+    for (n, (id, index, host)) in plan.starts.iter().enumerate() {
+        *started.entry(id).or_default() += 1;
+        let spec = book.get(id).expect("a known job").spec.clone();
+        let need = Room::from(&*spec);
+        let machine = &fleet.machines[host];
+        assert!(fleet.free_room(machine).fits(&need), "{id}/{index} finds no room on {host}");
+        let job = book.get(id).expect("a known job");
+        assert!(placement::permitted(settings, book, job, machine), "{id}/{index} on {host}");
+        let hold = Hold {
+            host: host.clone(),
+            shift: Shift(1),
+            zone: machine.zone.clone(),
+            attempt: match spec.shape {
+                Shape::Gang => Attempt(1),
+                _ => Attempt(n as u64 + 2),
+            },
+            version: 0,
+            run: RunSent::No,
+            phase: None,
+            since: NOW,
+            running_since: None,
+            stop: None,
+        };
+        assert!(book.hold(id, *index, hold), "{id}/{index} is placed twice");
+        let machine = fleet.machines.get_mut(host).expect("a known machine");
+        let task = oatloom::types::TaskId::new(id, *index);
+        machine.hold(task, need, &spec.image, spec.image_gb, 100.0);
+    }
+    for (id, count) in started {
+        let spec = &book.get(id).expect("a known job").spec;
+        assert!(spec.shape != Shape::Gang || count == spec.tasks, "{id} starts in part");
+    }
+}
+
+/// Work grows with jobs and machines, not with tasks, and a full fleet is not searched for every
+/// job: once a pass over 1,500 machines took longer than its period, and the leader did nothing
+/// else.
+#[test]
+fn passes_over_a_large_fleet_cost_a_bounded_number_of_looks() {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let settings = settings();
+    let (machines, jobs) = (1_200, 400);
+    let mut fleet = fleet(machines);
+    let mut book = book(jobs, &mut rng);
+    let tasks: u32 = book.jobs.values().map(|j| j.spec.tasks).sum();
+    assert!(tasks > 10 * jobs as u32);
+    let mut total = 0;
+    for round in 0..100 {
+        let plan = pass(&settings, &mut book, &fleet, false);
+        assert!(plan.steps < 2 * (machines * jobs) as u64, "round {round}: {}", plan.steps);
+        total += plan.starts.len();
+        start(&plan, &settings, &mut book, &mut fleet);
+        if plan.starts.is_empty() {
+            break;
+        }
+    }
+    assert!(total > 3 * machines, "{total} tasks on {machines} machines");
+    // Nothing more fits: what one job has not found, the others do not look for.
+    let full = pass(&settings, &mut book, &fleet, false);
+    assert!(full.starts.is_empty());
+    assert!(full.steps < 130 * machines as u64, "{}", full.steps);
+}
+
+/// Hundreds of machines wished for at once cost no more looks than machines already there.
+#[test]
+fn wishes_for_hundreds_of_machines_are_cheap() {
+    let mut rng = ChaCha8Rng::seed_from_u64(9);
+    let settings = settings();
+    let mut book = book(400, &mut rng);
+    let plan = pass(&settings, &mut book, &fleet(0), true);
+    assert!(plan.hires.len() > 500, "{}", plan.hires.len());
+    assert!(plan.steps < 2 * 400 * plan.hires.len() as u64, "{}", plan.steps);
+    let dear = plan.hires.iter().filter(|(kind, _)| !kind.spot).count();
+    assert!(dear < plan.hires.len(), "jobs that may use cheap machines get them");
+}
