Wishes for machines that wait are asked for together

Ruled out: accepting the jobs (all known after 11 s), the pass (0.04 s), the cloud's limit of 50 machines a request.

Change: what waits unsent for a kind grows to one request of up to 50 machines.

Test: wishes_that_wait_are_asked_for_together.

--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -115,18 +115,30 @@
     }
 
     /// Asks for machines under a name that no other request ever had: the token is this leader's
-    /// alone and the counter only grows.
+    /// alone and the counter only grows. What waits unsent is asked for together: a few of each
+    /// kind at every tick used up the calls, and hundreds of machines came seconds late.
     pub fn hire(&mut self, kind: &Kind, number: u32) {
-        self.counter += 1;
-        let hire = Hire {
-            request: format!("r-{}-{}", self.token, self.counter),
-            flavor: kind.flavor.clone(),
-            zone: kind.zone.clone(),
-            spot: kind.spot,
-            number: number.min(HIRE_MOST),
-        };
-        log::info!("cloud: hiring {number} {kind:?} as {}", hire.request);
-        self.hires.push_back(Asked { hire, tries: 0, sent: false });
+        let mut number = number;
+        for waiting in &mut self.hires {
+            if !waiting.sent && waiting.tries == 0 && Kind::from(&waiting.hire) == *kind {
+                let more = number.min(HIRE_MOST - waiting.hire.number);
+                waiting.hire.number += more;
+                number -= more;
+            }
+        }
+        while number > 0 {
+            self.counter += 1;
+            let hire = Hire {
+                request: format!("r-{}-{}", self.token, self.counter),
+                flavor: kind.flavor.clone(),
+                zone: kind.zone.clone(),
+                spot: kind.spot,
+                number: number.min(HIRE_MOST),
+            };
+            number -= hire.number;
+            log::info!("cloud: hiring {kind:?} as {}", hire.request);
+            self.hires.push_back(Asked { hire, tries: 0, sent: false });
+        }
     }
 
     pub fn release(&mut self, host: &HostId) {
@@ -306,6 +318,26 @@
         assert_ne!(first, next);
     }
 
+    /// Wishes of a kind that wait for the budget make one request, as large as the cloud takes.
+    #[test]
+    fn wishes_that_wait_are_asked_for_together() {
+        let (mut desk, kind) = desk();
+        let other = Kind { spot: false, ..kind.clone() };
+        for _ in 0..30 {
+            desk.hire(&kind, 3);
+            desk.hire(&other, 1);
+        }
+        assert_eq!(desk.awaited().map(|(_, n)| n).sum::<u32>(), 120);
+        assert_eq!(desk.awaited().count(), 3);
+        // One that was sent, and may have been carried out, stays as it was.
+        let first = sent_hire(&mut desk, Mono(5_000)).unwrap();
+        desk.answered(Mono(5_100), &first, CloudReply::Lost);
+        desk.hire(&kind, 20);
+        assert_eq!(sent_hire(&mut desk, Mono(10_000)), Some(first));
+        assert_eq!(desk.awaited().map(|(_, n)| n).sum::<u32>(), 140);
+        assert!(desk.awaited().all(|(_, n)| n <= HIRE_MOST));
+    }
+
     #[test]
     fn lists_of_many_pages_come_whole() {
         let (mut desk, _) = desk();
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -989,7 +989,7 @@
             }
         }
         for (kind, number) in counts {
-            desk.hire(&kind, number.min(HIRE_MOST));
+            desk.hire(&kind, number);
         }
     }
 
