--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -126,7 +126,7 @@
     }
 }
 
-fn start() -> Node {
+fn start(sockets: usize) -> Node {
     let (listen, mesh, state, cloud) = (free_address(), free_address(), state_service(), cloud());
     let text = format!(
         r#"
@@ -159,7 +159,7 @@
 list_lag_s = 4.0
 [facts.limits]
 memory_mb = 100.0
-sockets = 1000
+sockets = {sockets}
 "#
     );
     let settings = Settings::parse(&text).expect("sound settings");
@@ -187,7 +187,7 @@
 /// From a submission to a task's end and a cancellation, as users and a worker see them.
 #[test]
 fn a_controller_serves_users_and_workers_over_http() {
-    let node = start();
+    let node = start(1_000);
     node.until("up", |n| n.ask("GET", "/up", None).0 == 200);
     // A body above the size that arrives with its head, so that it is read apart.
     let submit = |id, gpus| node.ask("POST", "/v2/runs", Some(job(id, gpus))).0;
@@ -234,6 +234,33 @@
     assert_eq!((status, &done["status"]), (200, &json!("done")));
 }
 
+/// Connections cost no threads, those beyond the limit cost only themselves, and the listener goes
+/// on: with a thread for each it stopped for good once no further thread could be had.
+#[test]
+fn connections_are_bounded_and_the_listener_goes_on() {
+    let node = start(300);
+    node.until("up", |n| n.ask("GET", "/up", None).0 == 200);
+    let threads = || std::fs::read_dir("/proc/self/task").map_or(0, Iterator::count);
+    let address = node.base.trim_start_matches("http://").to_owned();
+    let before = threads();
+    let idle: Vec<_> =
+        (0..190).map(|_| std::net::TcpStream::connect(&address).expect("accepted")).collect();
+    assert_eq!(node.ask("GET", "/up", None).0, 200);
+    assert!(threads() < before + 150, "{before} threads, then {}", threads());
+    // With a hundred kept for its own calls, it takes no more than two hundred.
+    let beyond: Vec<_> =
+        (0..60).filter_map(|_| std::net::TcpStream::connect(&address).ok()).collect();
+    node.until("the limit", |_| {
+        let closed = |mut stream: &std::net::TcpStream| {
+            let _ = stream.set_read_timeout(Some(Duration::from_millis(5)));
+            matches!(std::io::Read::read(&mut stream, &mut [0]), Ok(0))
+        };
+        beyond.iter().any(closed)
+    });
+    drop((idle, beyond));
+    node.until("served again", |n| n.ask("GET", "/up", None).0 == 200);
+}
+
 /// A worker that is told 503, and a user too early, learn so at once.
 #[test]
 fn a_controller_without_its_services_answers_at_once() {
