Read again: one list of stored records, traffic counts taken at every log level

Which records of a job are in the store was worked out twice; Job::stored_chunks now serves both. The traffic counts were reset only where the debug line was written. Scheduling is unchanged.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -206,11 +206,9 @@
         self.was_valid = valid;
         if mono >= self.next_line {
             self.next_line = mono.plus(TRAFFIC_EVERY_MS);
-            log::debug!(
-                "traffic: {:?}, {} waiting",
-                std::mem::take(&mut self.traffic),
-                self.open.len()
-            );
+            // Taken whatever the level: the counts must not grow on for want of a reader.
+            let traffic = std::mem::take(&mut self.traffic);
+            log::debug!("traffic: {traffic:?}, {} waiting", self.open.len());
         }
         self.pass_notes(mono);
         self.write(mono);
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -304,6 +304,12 @@
             .is_none_or(|chunk| chunk.version == chunk.durable)
     }
 
+    /// Chunks that have a record in the store.
+    fn stored_chunks(&self) -> Vec<u32> {
+        let stored = self.chunks.iter().enumerate().filter(|(_, c)| c.stamp > Revision(0));
+        stored.map(|(i, _)| i as u32).collect()
+    }
+
     pub fn running(&self) -> u32 {
         self.holds()
             .filter(|(_, h)| matches!(h.phase, Some(TaskPhase::Running | TaskPhase::Saving)))
@@ -738,9 +744,7 @@
     /// writing what its last tasks have done.
     fn leftovers(&self, id: &JobId, most: usize) -> Vec<u32> {
         let Some(job) = self.jobs.get(id).filter(|job| job.held == 0) else { return Vec::new() };
-        let kept = |(_, chunk): &(usize, &Chunk)| chunk.stamp > Revision(0);
-        let chunks: Vec<u32> =
-            job.chunks.iter().enumerate().filter(kept).map(|(i, _)| i as u32).collect();
+        let chunks = job.stored_chunks();
         if chunks.len() <= most { chunks } else { Vec::new() }
     }
 
@@ -782,11 +786,8 @@
         };
         job.enter(JobState::Over, "durable");
         let record = OverRecord { status, done: job.done };
-        let kept = |(_, chunk): &(usize, &Chunk)| chunk.stamp > Revision(0);
-        let chunks: Vec<usize> =
-            job.chunks.iter().enumerate().filter(kept).map(|(i, _)| i).collect();
-        for chunk in chunks {
-            self.enqueue(Item::Chunk(id.clone(), chunk as u32), Haste::Lazy);
+        for chunk in job.stored_chunks() {
+            self.enqueue(Item::Chunk(id.clone(), chunk), Haste::Lazy);
         }
         self.sweep(id);
         Some((id.clone(), record))
