A gang in one zone takes the best of all zones instead of the first with room

Cause: zones were tried in the order of the settings, so that gangs were placed, and ordinary machines hired for them, in the first zone while others still had cheap ones.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -179,6 +179,8 @@
 pub const CLOSING_MOST: usize = 2;
 /// Seconds of fetching that weigh as much as a whole machine left over.
 pub const FETCH_WEIGHT_S: f64 = 20.0;
+/// Machines in a zone that make its prices count double: among equal prices the emptier zone wins.
+pub const ZONE_EVENNESS: f64 = 1_000.0;
 /// An array of which nothing runs after this long gets a machine whatever the loop's target, in
 /// seconds.
 pub const STARVED_S: f64 = 60.0;
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -422,7 +422,7 @@
             let price = if *spot { flavor.spot_price } else { flavor.price };
             let there = f64::from(self.yard.in_zone(zone));
             // Equal prices: the zone with fewer machines, so that losses of a zone weigh less.
-            let cost = price * need.room.share_of(&whole) * (1.0 + there / 1000.0);
+            let cost = price * need.room.share_of(&whole) * (1.0 + there / ZONE_EVENNESS);
             if best.is_none_or(|(c, _)| cost < c) {
                 best = Some((cost, at));
             }
@@ -455,37 +455,50 @@
         } else {
             vec![None]
         };
+        // All zones are tried, since the first with room may be the dearest or have no images there.
+        let mut best: Option<(f64, &Option<Zone>)> = None;
         for site in &sites {
-            if let Some(places) = self.gang_places(&need, tasks.len(), site.as_ref()) {
-                for (index, at) in tasks.iter().zip(places) {
-                    self.start(job, *index, at);
-                }
-                return;
+            let mark = self.mark(job);
+            let Some((_, score)) = self.gang_places(&need, tasks.len(), site.as_ref()) else {
+                continue;
+            };
+            self.roll_back(job, mark);
+            if best.is_none_or(|(least, _)| score < least) {
+                best = Some((score, site));
             }
         }
+        let chosen = best.and_then(|(_, site)| self.gang_places(&need, tasks.len(), site.as_ref()));
+        if let Some((places, _)) = chosen {
+            for (index, at) in tasks.iter().zip(places) {
+                self.start(job, *index, at);
+            }
+            return;
+        }
         // Not now: count it against live room first, then machines on their way or to be hired,
-        // so that nothing of lower rank takes what it will need.
+        // so that nothing of lower rank takes what it will need. Where that hires for least.
+        let mut best: Option<(f64, &Option<Zone>)> = None;
         for site in &sites {
             let mark = self.mark(job);
-            let mut places = Places::new(self, &need, job.zones.clone(), site.as_ref());
-            let placed = tasks
-                .iter()
-                .all(|_| places.live(self, &need).is_some() || places.later(self, &need, true));
-            if placed {
-                break;
+            if let Some(price) = self.gang_later(&need, tasks.len(), site.as_ref())
+                && best.is_none_or(|(least, _)| price < least)
+            {
+                best = Some((price, site));
             }
             self.roll_back(job, mark);
         }
+        if let Some((_, site)) = best {
+            self.gang_later(&need, tasks.len(), site.as_ref());
+        }
         self.make_room(&need, book, false);
     }
 
-    /// Live slots for all tasks of a gang together.
+    /// Live slots for all tasks of a gang together, and what the worst of them scores.
     fn gang_places(
         &mut self,
         need: &Need,
         count: usize,
         site: Option<&Zone>,
-    ) -> Option<Vec<usize>> {
+    ) -> Option<(Vec<usize>, f64)> {
         let zones = need.job.zones.clone();
         let mask = self.yard.mask(need, &zones, site);
         if self.yard.hopeless(need, &mask, When::Live, count) {
@@ -493,9 +506,11 @@
         }
         let mark = self.mark(need.job);
         let mut places = Places::new(self, need, zones, site);
-        let found: Vec<usize> = (0..count).map_while(|_| places.live(self, need)).collect();
+        let found: Vec<(usize, f64)> =
+            (0..count).map_while(|_| places.live_scored(self, need)).collect();
         if found.len() == count {
-            return Some(found);
+            let worst = found.iter().map(|(_, score)| *score).fold(f64::MIN, f64::max);
+            return Some((found.into_iter().map(|(at, _)| at).collect(), worst));
         }
         self.roll_back(need.job, mark);
         if !need.job.spec.spread {
@@ -504,6 +519,22 @@
         None
     }
 
+    /// Room for a gang on machines that are live, on their way or to be hired, and what the last
+    /// cost by the hour.
+    fn gang_later(&mut self, need: &Need, count: usize, site: Option<&Zone>) -> Option<f64> {
+        let before = self.plan.hires.len();
+        let mut places = Places::new(self, need, need.job.zones.clone(), site);
+        let placed = (0..count)
+            .all(|_| places.live(self, need).is_some() || places.later(self, need, true));
+        let price = |(kind, _): &(Kind, bool)| {
+            let flavor = self.fleet.flavor(&kind.flavor);
+            let price = flavor.map_or(0.0, |f| if kind.spot { f.spot_price } else { f.price });
+            // Equal prices: the zone with fewer machines, so that losses of a zone weigh less.
+            price * (1.0 + f64::from(self.yard.in_zone(&kind.zone)) / ZONE_EVENNESS)
+        };
+        placed.then(|| self.plan.hires[before..].iter().map(price).sum())
+    }
+
     fn mark(&self, job: &Job) -> (slots::Mark, Option<Usage>, usize) {
         let usage = self.usage.get(&job.spec.team).copied();
         (self.yard.mark(), usage, self.plan.hires.len())
@@ -652,9 +683,15 @@
 
     /// The best live slot, which is taken.
     fn live(&mut self, pass: &mut Pass, need: &Need) -> Option<usize> {
+        self.live_scored(pass, need).map(|(at, _)| at)
+    }
+
+    /// The same, with what it scores.
+    fn live_scored(&mut self, pass: &mut Pass, need: &Need) -> Option<(usize, f64)> {
         let at = pass.yard.best(&mut self.search, need, &self.mask, When::Live)?;
+        let score = pass.yard.score_of(need, at);
         self.take(pass, need, at);
-        Some(at)
+        Some((at, score))
     }
 
     /// Counts a task against a machine on its way, or wishes for another one.
--- a/src/placement/slots.rs
+++ b/src/placement/slots.rs
@@ -365,6 +365,11 @@
         self.slots[at].machine.is_some_and(|m| m.has_image(image))
     }
 
+    /// What a task of the job makes of a slot.
+    pub fn score_of(&self, need: &Need, at: usize) -> f64 {
+        self.score(need, &self.slots[at])
+    }
+
     /// Lower is better: a fetch costs its time, then the tightest fit wins.
     fn score(&self, need: &Need, slot: &Slot) -> f64 {
         let spec: &JobSpec = &need.job.spec;
