Answers to reports of machines with room wait for a start where users are in a hurry

A report with no order to answer now waits up to 2.8 s (its worker gives up after 4 s) if its machine is kept for a job or has room for one that is expected, and the hurried prefer machines whose report is open.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -119,6 +119,14 @@
 
 /// Orders in one answer: far below a line of 64 KiB.
 pub const MAX_ORDERS: usize = 300;
+/// A worker gives up on an answer after this long (protocol).
+pub const REPORT_DROP_MS: Millis = Millis(4_000);
+/// How long the answer to a report may wait for something to say: with what is lost on the way and
+/// on a slow processor it still comes well before its worker gives up.
+pub const PARK_MS: Millis = Millis(2_800);
+/// Answers wait where users want a class started within this many report periods: else starts are
+/// not what is late.
+pub const EAGER_REPORTS: f64 = 1.75;
 /// Missed reports (in report periods) after which a machine is taken for lost and released.
 pub const SILENT_REPORTS: f64 = 3.5;
 /// Share of that patience after which a machine counts as silent when a cut is looked for.
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -7,6 +7,7 @@
 use crate::jobs::{self, Item, JobState, LiveRecord, OverCache, OverRecord, Written};
 use crate::leadership::{Ask, LEAD_KEY, Leadership, Turn};
 use crate::mesh::{Notes, Question};
+use crate::parked::ParkedReports;
 use crate::placement;
 use crate::reign::{Reign, Stage};
 use crate::relay::{Relays, Way};
@@ -91,6 +92,7 @@
 #[derive(Debug, Default)]
 struct Traffic {
     answered: u32,
+    parked: u32,
     passed_on: u32,
     sent_on: u32,
     refused: u32,
@@ -115,6 +117,7 @@
     waiting_end: HashMap<JobId, Vec<ConnId>>,
     asks: HashMap<u64, (ConnId, Question, Mono)>,
     relays: Relays,
+    parked: ParkedReports,
     cloud_ops: HashMap<u64, (CloudOp, Token)>,
     next_id: u64,
     writer: Writer,
@@ -146,6 +149,7 @@
             waiting_end: HashMap::new(),
             asks: HashMap::new(),
             relays: Relays::default(),
+            parked: ParkedReports::default(),
             traffic: Traffic::default(),
             next_line: Mono(0),
             cloud_ops: HashMap::new(),
@@ -212,6 +216,7 @@
         }
         self.pass_notes(mono);
         self.write(mono);
+        self.answer_parked(mono);
         self.watch(mono);
         for op in self.desk.tick(mono, valid, self.catalog().is_some()) {
             self.next_id += 1;
@@ -584,6 +589,7 @@
             Request::Report(report) => {
                 let reply = self.on_report(now.mono, conn, &report, forwarded);
                 *match reply.as_ref().map(|reply| reply.status) {
+                    None if self.was_valid => &mut self.traffic.parked,
                     None => &mut self.traffic.passed_on,
                     Some(200) => &mut self.traffic.answered,
                     Some(421) => &mut self.traffic.sent_on,
@@ -642,6 +648,23 @@
             if report.token > token {
                 self.leadership.outranked(report.token);
             } else if let Some(answer) = reign.on_report(report, now) {
+                // A worker has one report under way: it has given up on an older one.
+                if let Some(old) = self.parked.take(&report.host) {
+                    self.reply(old.conn, HttpReply::error(409, "a newer report has come"));
+                }
+                let calm = answer.orders.is_empty() && !forwarded;
+                let reign = self.reign.as_ref().filter(|r| {
+                    calm && report.token == token && r.may_wait(&self.settings, &report.host, now)
+                });
+                if reign.is_some() {
+                    let (shift, tally) = (report.shift, report.tally);
+                    self.parked.park(report.host.clone(), conn, shift, tally, now);
+                    self.open.insert(conn, now.plus(REPORT_DROP_MS));
+                    return None;
+                }
+                if let Some(reign) = self.reign.as_mut() {
+                    reign.answered(&report.host, now);
+                }
                 return Some(HttpReply::json(200, &answer));
             }
             // Not 503, which would tell a controller that passed it on that this one cannot lead.
@@ -667,6 +690,28 @@
         }
     }
 
+    /// Answers parked reports for which there is something to say by now, or whose time is up.
+    fn answer_parked(&mut self, now: Mono) {
+        let valid = self.leadership.valid(now).is_some();
+        let Some(reign) = self.reign.as_mut().filter(|_| valid) else {
+            for (_, parked) in self.parked.take_all() {
+                self.reply(parked.conn, HttpReply::error(503, "no leader any more"));
+            }
+            return;
+        };
+        let due = self.parked.due(now, |host| reign.has_orders(host));
+        for host in due {
+            let Some(parked) = self.parked.take(&host) else { continue };
+            let reign = self.reign.as_mut();
+            let answer = reign.and_then(|r| r.answer_late(&host, parked.shift, parked.tally, now));
+            let reply = match answer {
+                Some(answer) => HttpReply::json(200, &answer),
+                None => HttpReply::error(409, "an older report, or a machine that was returned"),
+            };
+            self.reply(parked.conn, reply);
+        }
+    }
+
     fn ask(&mut self, now: Mono, conn: ConnId, to: Member, question: Question) {
         self.next_id += 1;
         let until = now.plus(ASK_TIMEOUT_MS);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod jobs;
 pub mod leadership;
 pub mod mesh;
+pub mod parked;
 pub mod placement;
 pub mod reign;
 pub mod relay;
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -46,9 +46,17 @@
 struct Need<'a> {
     job: &'a Job,
     room: Room,
+    /// Seconds of fetching, or of waiting for a report, that weigh as much as a whole machine.
+    late_weight_s: f64,
 }
 
-impl Need<'_> {
+impl<'a> Need<'a> {
+    fn new(settings: &Settings, job: &'a Job) -> Self {
+        let within = eager(settings, &job.spec.class).unwrap_or(FETCH_WEIGHT_S);
+        let late_weight_s = within.clamp(1.0, FETCH_WEIGHT_S);
+        Self { job, room: Room::from(&*job.spec), late_weight_s }
+    }
+
     fn allows(&self, flavor: &str, zone: &Zone, spot: bool) -> bool {
         let spec = &self.job.spec;
         spec.flavors.as_ref().is_none_or(|f| f.iter().any(|x| x == flavor))
@@ -81,7 +89,7 @@
 /// Whether one more task of the job may be on the machine: its own wishes, the zones of its other
 /// tasks and its team's limit. Checked once more for every single start, whatever a plan says.
 pub fn permitted(settings: &Settings, book: &Book, job: &Job, machine: &Machine) -> bool {
-    let need = Need { job, room: Room::from(&*job.spec) };
+    let need = Need::new(settings, job);
     let Some(team) = settings.team(&job.spec.team) else { return false };
     let used = book.usage.get(&job.spec.team).copied().unwrap_or_default();
     let within = |most: f64, used: f64, each: f64| most <= 0.0 || used + each <= most + 1e-6;
@@ -102,6 +110,13 @@
         .reduce(f64::min)
 }
 
+/// Seconds within which users want the class started, if that is so few report periods that waiting
+/// for a machine's next report would make it late.
+pub fn eager(settings: &Settings, class: &str) -> Option<f64> {
+    let soon = settings.facts.workers.report_s * EAGER_REPORTS;
+    objective(settings, class, "wait").filter(|within| *within <= soon)
+}
+
 /// When the job ought to be complete.
 pub fn due(settings: &Settings, job: &Job) -> Mono {
     let spec = &job.spec;
@@ -218,7 +233,7 @@
         settings,
         fleet,
         refused,
-        yard: Yard::new(fleet, &awaited, now),
+        yard: Yard::new(fleet, &awaited, settings.facts.workers.report_s, now),
         usage: book.usage.clone(),
         started: HashMap::new(),
         searches: 0,
@@ -301,16 +316,22 @@
 
 /// Whether the services on a machine would find room on other live machines that have their
 /// images; its other tasks end by themselves.
-pub fn room_elsewhere(now: Mono, book: &Book, fleet: &Fleet, host: &HostId) -> bool {
+pub fn room_elsewhere(
+    now: Mono,
+    settings: &Settings,
+    book: &Book,
+    fleet: &Fleet,
+    host: &HostId,
+) -> bool {
     let Some(machine) = fleet.machines.get(host) else { return false };
-    let mut yard = Yard::new(fleet, &[], now);
+    let mut yard = Yard::new(fleet, &[], 0.0, now);
     yard.leave_out(|m| m.id == *host || m.life == Life::Closing);
     machine.held.keys().all(|task| {
         let Some(job) = book.get(&task.job) else { return true };
         if job.spec.shape != Shape::Service {
             return true;
         }
-        let need = Need { job, room: Room::from(&*job.spec) };
+        let need = Need::new(settings, job);
         let mut zones = job.zones.clone();
         if let Some(count) = zones.get_mut(&machine.zone) {
             *count = count.saturating_sub(1);
@@ -371,7 +392,7 @@
 
     /// Tasks that start one by one.
     fn singles(&mut self, job: &Job, tasks: &[u32], hire: bool, book: &Book, owed: bool) {
-        let need = Need { job, room: Room::from(&*job.spec) };
+        let need = Need::new(self.settings, job);
         let most = self.within_limit(job) as usize;
         let mut places = Places::new(self, &need, self.zones(job), None);
         let mut wanting = false;
@@ -433,7 +454,7 @@
     /// Keeps room for tasks that are likely to come: on live machines, on those on their way, or on
     /// further ones.
     fn keep_ready(&mut self, job: &Job, count: u32) {
-        let need = Need { job, room: Room::from(&*job.spec) };
+        let need = Need::new(self.settings, job);
         let mut places = Places::new(self, &need, BTreeMap::new(), None);
         for _ in 0..count {
             if let Some(at) = places.live(self, &need) {
@@ -446,7 +467,7 @@
 
     /// A gang starts whole or not at all.
     fn gang(&mut self, job: &Job, tasks: &[u32], book: &Book) {
-        let need = Need { job, room: Room::from(&*job.spec) };
+        let need = Need::new(self.settings, job);
         if (self.within_limit(job)) < job.spec.tasks || tasks.len() < job.spec.tasks as usize {
             return;
         }
@@ -524,8 +545,8 @@
     fn gang_later(&mut self, need: &Need, count: usize, site: Option<&Zone>) -> Option<f64> {
         let before = self.plan.hires.len();
         let mut places = Places::new(self, need, need.job.zones.clone(), site);
-        let placed = (0..count)
-            .all(|_| places.live(self, need).is_some() || places.later(self, need, true));
+        let placed =
+            (0..count).all(|_| places.live(self, need).is_some() || places.later(self, need, true));
         let price = |(kind, _): &(Kind, bool)| {
             let flavor = self.fleet.flavor(&kind.flavor);
             let price = flavor.map_or(0.0, |f| if kind.spot { f.spot_price } else { f.price });
--- a/src/placement/slots.rs
+++ b/src/placement/slots.rs
@@ -22,6 +22,8 @@
     whole: Room,
     reserved: Option<&'a JobId>,
     fetch: f64,
+    /// Seconds until its next report, with whose answer a start can go; 0 if one is open.
+    report_in_s: f64,
     /// Images on their way there, and their sizes.
     fetching: Vec<(String, f64)>,
 }
@@ -112,7 +114,7 @@
 }
 
 impl<'a> Yard<'a> {
-    pub fn new(fleet: &'a Fleet, awaited: &[(Kind, u32)], now: Mono) -> Self {
+    pub fn new(fleet: &'a Fleet, awaited: &[(Kind, u32)], report_s: f64, now: Mono) -> Self {
         let mut yard = Self {
             kinds: Vec::new(),
             slots: Vec::with_capacity(fleet.machines.len()),
@@ -154,6 +156,7 @@
                 whole: Room::from(flavor),
                 reserved,
                 fetch: flavor.fetch_gb_per_s,
+                report_in_s: m.report_in(report_s, now),
                 fetching: m.fetching(),
             };
             yard.push(slot, if live { When::Live } else { When::Coming });
@@ -200,6 +203,7 @@
             whole: Room::from(flavor),
             reserved: None,
             fetch: flavor.fetch_gb_per_s,
+            report_in_s: 0.0,
             fetching: Vec::new(),
         };
         self.push(slot, When::Coming)
@@ -384,6 +388,9 @@
         let spare = left.share_of(&slot.whole);
         let dear = if spec.spot && !self.kinds[slot.kind].2 { 0.5 } else { 0.0 };
         let reopened = if slot.closing { REOPEN_WEIGHT } else { 0.0 };
-        fetch_s / FETCH_WEIGHT_S + spare + dear + reopened
+        // Only those in a hurry weigh reports: the others' places would be scattered for nothing.
+        let eager = need.late_weight_s < FETCH_WEIGHT_S;
+        let report_s = if eager { slot.report_in_s } else { 0.0 };
+        (fetch_s + report_s) / need.late_weight_s + spare + dear + reopened
     }
 }
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -8,7 +8,7 @@
 use crate::mesh::Notes;
 use crate::placement::{self, Inputs, Plan};
 use crate::scaling::{self, Bounds, Demand};
-use crate::settings::{Operators, Settings};
+use crate::settings::{Objective, Operators, Settings};
 use crate::types::*;
 use crate::wire::{
     Cause, JobSpec, JobStatus, Listed, MachineStatus, Order, Report, ReportAnswer, Shape, TaskPhase,
@@ -299,10 +299,93 @@
         if self.stage == Stage::Ruling {
             self.end_old_shift(report, now);
             self.compare(report, fresh, &mut orders, now);
-            self.start_held(report, fresh, &mut orders);
+            if fresh == Freshness::Confirmed {
+                self.start_held(&report.host, report.shift, report.tally, &mut orders);
+            }
+        }
+        Some(ReportAnswer { token: self.token, orders })
+    }
+
+    /// Whether the answer to a machine's report may wait for something to say: it is kept for a
+    /// job, or has room for one that must start soon, and nothing on it is likely to end meanwhile.
+    pub fn may_wait(&self, settings: &Settings, host: &HostId, now: Mono) -> bool {
+        let eager = |o: &Objective| {
+            o.class.as_deref().is_some_and(|class| placement::eager(settings, class).is_some())
+        };
+        if self.stage != Stage::Ruling || !settings.facts.objectives.iter().any(eager) {
+            return false;
+        }
+        let Some(m) = self.fleet.machines.get(host) else { return false };
+        if m.life != Life::Live || !m.strays.is_empty() || m.paused_until > now {
+            return false;
+        }
+        let kept = m.reserved.as_ref().is_some_and(|(_, until)| now < *until);
+        let unsent = |hold: &Hold| hold.run == RunSent::No;
+        let calm = |task: &TaskId| {
+            self.book.get(&task.job).is_some_and(|j| {
+                let steady = |hold: &Hold| hold.phase == Some(TaskPhase::Running);
+                j.spec.shape != Shape::Array
+                    && j.hold(task.index)
+                        .is_some_and(|h| h.stop.is_none() && (unsent(h) || steady(h)))
+            })
+        };
+        let roomy = || {
+            let free = self.fleet.free_room(m);
+            self.expected.iter().any(|(job, _)| free.fits(&Room::from(&*job.spec)))
+        };
+        let awaiting = || {
+            let hold = |t: &TaskId| self.book.get(&t.job).and_then(|j| j.hold(t.index));
+            m.held.keys().any(|task| hold(task).is_some_and(unsent))
+        };
+        kept || awaiting() || m.held.keys().all(calm) && roomy()
+    }
+
+    /// Whether a machine is to be told to start or stop something.
+    pub fn has_orders(&self, host: &HostId) -> bool {
+        let Some(machine) = self.fleet.machines.get(host) else { return true };
+        machine.life != Life::Live
+            || machine.held.keys().any(|task| {
+                self.book.get(&task.job).is_some_and(|job| {
+                    job.hold(task.index).is_some_and(|hold| {
+                        hold.stop.is_some()
+                            || hold.run == RunSent::No
+                                && job.state == JobState::Open
+                                && job.durable(task.index)
+                    })
+                })
+            })
+    }
+
+    /// A report is being answered with 200.
+    pub fn answered(&mut self, host: &HostId, now: Mono) {
+        if let Some(machine) = self.fleet.machines.get_mut(host) {
+            machine.last_answer = Some(now);
+        }
+    }
+
+    /// The answer to a report that was parked, unless a newer one has come or its machine is gone.
+    pub fn answer_late(
+        &mut self,
+        host: &HostId,
+        shift: Shift,
+        tally: Tally,
+        now: Mono,
+    ) -> Option<ReportAnswer> {
+        let machine = self.fleet.machines.get_mut(host)?;
+        if (machine.shift, machine.tally) != (shift, tally) {
+            return None;
         }
-        let machine = self.fleet.machines.get_mut(&report.host)?;
         machine.last_answer = Some(now);
+        let mut orders = Vec::new();
+        for (id, index) in self.held_on(host, |hold| hold.stop.is_some() && hold.run != RunSent::No)
+        {
+            let hold = self.book.get(&id).and_then(|j| j.hold(index));
+            if let Some((stop, attempt)) = hold.and_then(|h| Some((h.stop?, h.attempt))) {
+                let task = TaskId::new(&id, index).to_string();
+                self.push(&mut orders, Order::Stop { task, attempt, grace_s: stop.grace_s });
+            }
+        }
+        self.start_held(host, shift, tally, &mut orders);
         Some(ReportAnswer { token: self.token, orders })
     }
 
@@ -621,15 +704,15 @@
     }
 
     /// Start commands for what is assigned here and durable.
-    fn start_held(&mut self, report: &Report, fresh: Freshness, orders: &mut Vec<Order>) {
-        let Some(machine) = self.fleet.machines.get(&report.host) else {
+    fn start_held(&mut self, host: &HostId, shift: Shift, tally: Tally, orders: &mut Vec<Order>) {
+        let Some(machine) = self.fleet.machines.get(host) else {
             return;
         };
-        if fresh != Freshness::Confirmed || !matches!(machine.life, Life::Live | Life::Closing) {
+        if !matches!(machine.life, Life::Live | Life::Closing) {
             return;
         }
         let strays: Vec<TaskId> = machine.strays.keys().map(|(t, _)| t.clone()).collect();
-        for (id, index) in self.held_on(&report.host, |h| h.run == RunSent::No) {
+        for (id, index) in self.held_on(host, |h| h.run == RunSent::No) {
             let Some(job) = self.book.jobs.get_mut(&id) else {
                 continue;
             };
@@ -640,11 +723,11 @@
             let Some(hold) = job.hold_mut(index) else {
                 continue;
             };
-            if hold.shift != report.shift || hold.stop.is_some() || orders.len() >= MAX_ORDERS {
+            if hold.shift != shift || hold.stop.is_some() || orders.len() >= MAX_ORDERS {
                 continue;
             }
-            hold.run = RunSent::At(report.tally);
-            log::debug!("task {task}: run on {} try {}", report.host, hold.attempt);
+            hold.run = RunSent::At(tally);
+            log::debug!("task {task}: run on {host} try {}", hold.attempt);
             orders.push(Order::Run { task: task.to_string(), attempt: hold.attempt });
         }
     }
@@ -952,7 +1035,7 @@
             self.log_fleet(&plan);
         }
         self.return_idle(&plan, ops, desk, now);
-        self.consolidate(&plan, desk, now);
+        self.consolidate(settings, &plan, desk, now);
         self.hire(plan, rented, bounds.max, desk);
     }
 
@@ -1025,7 +1108,7 @@
 
     /// While more is rented than planned and no machine stands idle, empties the one with least on
     /// it: replicas move one at a time, other tasks end by themselves.
-    fn consolidate(&mut self, plan: &Plan, desk: &mut CloudDesk, now: Mono) {
+    fn consolidate(&mut self, settings: &Settings, plan: &Plan, desk: &mut CloudDesk, now: Mono) {
         for host in &plan.ready {
             if let Some(m) = self.fleet.machines.get_mut(host).filter(|m| m.life == Life::Closing) {
                 m.enter(Life::Live, "kept ready");
@@ -1049,7 +1132,8 @@
             }
             return;
         }
-        let roomy = |host: &HostId| placement::room_elsewhere(now, &self.book, &self.fleet, host);
+        let roomy =
+            |host: &HostId| placement::room_elsewhere(now, settings, &self.book, &self.fleet, host);
         let mut least: Vec<(f64, HostId)> = self
             .fleet
             .machines
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -167,6 +167,19 @@
         self.images.iter().filter(|i| !i.ready).map(|i| (i.name.clone(), i.gb)).collect()
     }
 
+    /// Whether its last report is still to be answered.
+    pub fn report_open(&self) -> bool {
+        self.last_report.is_some_and(|at| self.last_answer.is_none_or(|answer| answer < at))
+    }
+
+    /// Seconds until its next report is likely to come; 0 if one is open.
+    pub fn report_in(&self, report_s: f64, now: Mono) -> f64 {
+        match self.last_report {
+            Some(at) if !self.report_open() => (report_s - now.since(at).secs()).max(0.0),
+            _ => 0.0,
+        }
+    }
+
     pub fn empty(&self) -> bool {
         self.held.is_empty() && self.strays.is_empty()
     }
