Gangs make room on several machines of a zone; stops for it go to workers directly

One search now looks for places for all its tasks in one site, by what work is lost and what has to be fetched, and keeps those machines for it. Stops for preemption and drains also go by /do; what the answer shows as ended has ended, what it does not list proves nothing (it is not ordered among the reports). Start commands still go only with answers to reports; the simulated world asserts it, delivers commands late, and now has a class in a hurry so that open reports are played too.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -127,6 +127,12 @@
 /// Answers wait where users want a class started within this many report periods: else starts are
 /// not what is late.
 pub const EAGER_REPORTS: f64 = 1.75;
+/// Direct commands under way at once, and threads that send them: enough for the tasks of a few
+/// gangs; each costs a socket and, while it waits, a small stack.
+pub const COMMANDS_MOST: usize = 24;
+pub const COMMAND_THREADS: usize = 6;
+/// Time-out of a direct command: what it says goes with the answer to the next report in any case.
+pub const COMMAND_TIMEOUT_MS: Millis = Millis(800);
 /// Missed reports (in report periods) after which a machine is taken for lost and released.
 pub const SILENT_REPORTS: f64 = 3.5;
 /// Share of that patience after which a machine counts as silent when a cut is looked for.
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -15,7 +15,8 @@
 use crate::store::{Lane, OpId, StoreClient, StoreOp, StoreReply};
 use crate::types::*;
 use crate::wire::{
-    Change, Changes, Condition, JobSpec, JobStatus, JobView, Page, Redirect, Report, Row, Txn,
+    Change, Changes, Command, Condition, JobSpec, JobStatus, JobView, Page, Redirect, Report, Row,
+    Txn,
 };
 use crate::workers::Fleet;
 use rand::{Rng, SeedableRng};
@@ -43,6 +44,10 @@
         id: u64,
         reply: CloudReply,
     },
+    /// A worker's answer to a direct command; `None`: it could not be reached.
+    Obeyed {
+        report: Option<Box<Report>>,
+    },
     /// A peer's answer to a question; `None`: it could not be reached.
     Told {
         id: u64,
@@ -52,10 +57,29 @@
 
 #[derive(Debug, PartialEq)]
 pub enum Action {
-    Reply { conn: ConnId, reply: HttpReply },
-    Store { id: OpId, lane: Lane, op: StoreOp },
-    Cloud { id: u64, op: CloudOp },
-    Ask { to: Member, id: u64, question: Question },
+    Reply {
+        conn: ConnId,
+        reply: HttpReply,
+    },
+    Store {
+        id: OpId,
+        lane: Lane,
+        op: StoreOp,
+    },
+    Cloud {
+        id: u64,
+        op: CloudOp,
+    },
+    Ask {
+        to: Member,
+        id: u64,
+        question: Question,
+    },
+    /// Orders for a worker that do not wait for its next report.
+    Command {
+        addr: String,
+        command: Command,
+    },
 }
 
 /// What becomes of a look into the store for one job.
@@ -118,6 +142,8 @@
     asks: HashMap<u64, (ConnId, Question, Mono)>,
     relays: Relays,
     parked: ParkedReports,
+    /// Direct commands under way.
+    commands: usize,
     cloud_ops: HashMap<u64, (CloudOp, Token)>,
     next_id: u64,
     writer: Writer,
@@ -150,6 +176,7 @@
             asks: HashMap::new(),
             relays: Relays::default(),
             parked: ParkedReports::default(),
+            commands: 0,
             traffic: Traffic::default(),
             next_line: Mono(0),
             cloud_ops: HashMap::new(),
@@ -185,6 +212,7 @@
             Event::Store { id, reply } => self.on_store(now, id, reply),
             Event::Cloud { id, reply } => self.on_cloud(now.mono, id, reply),
             Event::Told { id, reply } => self.on_told(now, id, reply),
+            Event::Obeyed { report } => self.on_obeyed(now.mono, report),
         }
         self.turn(now);
         std::mem::take(&mut self.out)
@@ -217,6 +245,7 @@
         self.pass_notes(mono);
         self.write(mono);
         self.answer_parked(mono);
+        self.send_commands(mono);
         self.watch(mono);
         for op in self.desk.tick(mono, valid, self.catalog().is_some()) {
             self.next_id += 1;
@@ -712,6 +741,29 @@
         }
     }
 
+    /// Sends stops directly, so many at once that machines that cannot be reached cost little.
+    fn send_commands(&mut self, now: Mono) {
+        if self.leadership.valid(now).is_none() {
+            return;
+        }
+        let Some(reign) = self.reign.as_mut() else { return };
+        while self.commands < COMMANDS_MOST
+            && let Some((host, addr, command)) = reign.next_command()
+        {
+            log::debug!("machine {host}: told directly, {} orders", command.orders.len());
+            self.commands += 1;
+            self.out.push(Action::Command { addr, command });
+        }
+    }
+
+    fn on_obeyed(&mut self, now: Mono, report: Option<Box<Report>>) {
+        self.commands = self.commands.saturating_sub(1);
+        let valid = self.leadership.valid(now).is_some();
+        if let (Some(report), Some(reign)) = (report, self.reign.as_mut().filter(|_| valid)) {
+            reign.on_obeyed(&report, now);
+        }
+    }
+
     fn ask(&mut self, now: Mono, conn: ConnId, to: Member, question: Question) {
         self.next_id += 1;
         let until = now.plus(ASK_TIMEOUT_MS);
--- a/src/edge/clients.rs
+++ b/src/edge/clients.rs
@@ -7,7 +7,7 @@
 use crate::settings::Endpoints;
 use crate::store::{Lane, OpId, StoreOp, StoreReply};
 use crate::types::Millis;
-use crate::wire::{Changes, Epoch, Grant, Hosts, Page, Row};
+use crate::wire::{Changes, Command, Epoch, Grant, Hosts, Page, Row};
 use crossbeam::channel::{Receiver, Sender, bounded};
 use serde::de::DeserializeOwned;
 use serde_json::json;
@@ -21,6 +21,7 @@
     watch: Sender<(OpId, StoreOp)>,
     plain: Sender<(OpId, StoreOp)>,
     cloud: Sender<(u64, CloudOp)>,
+    workers: Sender<(String, Command)>,
 }
 
 /// Status and body of an answer; `None`: there was none.
@@ -101,6 +102,8 @@
             watch: store("watch", 2, hold)?,
             plain: store("store", STORE_INFLIGHT + 1, STORE_TIMEOUT_MS)?,
             cloud: pool("cloud", 3, &endpoints.cloud, CLOUD_TIMEOUT_MS, inputs, call_cloud)?,
+            // Each command names its worker's address.
+            workers: pool("do", COMMAND_THREADS, "", COMMAND_TIMEOUT_MS, inputs, call_worker)?,
         })
     }
 
@@ -118,6 +121,21 @@
         let failed = Event::Cloud { id, reply: CloudReply::Busy };
         self.cloud.try_send((id, op)).is_err().then_some(failed)
     }
+
+    pub fn command(&self, addr: String, command: Command) -> Option<Event> {
+        let failed = Event::Obeyed { report: None };
+        self.workers.try_send((addr, command)).is_err().then_some(failed)
+    }
+}
+
+/// Commands a worker; whatever it answers, its report is what counts.
+fn call_worker(caller: &Caller, addr: String, command: Command) -> Event {
+    let raw = match addr.parse::<std::net::SocketAddr>() {
+        Ok(_) => caller.post(&format!("{addr}/do"), &command),
+        Err(_) => None,
+    };
+    let report = raw.and_then(|(_, body)| serde_json::from_slice(&body).ok());
+    Event::Obeyed { report }
 }
 
 /// Threads that each take a call, wait for its answer, and hand it to the core.
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -140,6 +140,7 @@
             Action::Reply { conn, reply } => self.answer(conn, reply),
             Action::Store { id, lane, op } => return self.clients.store(id, lane, op),
             Action::Cloud { id, op } => return self.clients.cloud(id, op),
+            Action::Command { addr, command } => return self.clients.command(addr, command),
             Action::Ask { to, id, question } => {
                 let asked = crate::mesh::Asked { id, question };
                 let sent = self.mesh.get(&to).is_some_and(|peer| peer.try_send(asked).is_ok());
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -12,7 +12,7 @@
 use crate::wire::{Flavor, Shape};
 use crate::workers::{Fleet, Life, Machine, Room};
 use slots::{Search, When, Yard, usable};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 /// What one pass decides.
 #[derive(Debug, Default)]
@@ -25,6 +25,8 @@
     pub hires: Vec<(Kind, bool)>,
     /// Live machines whose room is kept ready for jobs that are likely to come.
     pub ready: BTreeSet<HostId>,
+    /// Whether a gang was placed for which machines had been kept.
+    pub placed_kept: bool,
     /// Machines looked at: what the pass has cost.
     pub steps: u64,
 }
@@ -414,7 +416,7 @@
             }
         }
         if wanting {
-            self.make_room(&need, book, owed);
+            self.make_room(&need, book, owed, &[None]);
         }
     }
 
@@ -493,6 +495,7 @@
             for (index, at) in tasks.iter().zip(places) {
                 self.start(job, *index, at);
             }
+            self.plan.placed_kept |= self.yard.kept_for(&job.spec.id);
             return;
         }
         // Not now: count it against live room first, then machines on their way or to be hired,
@@ -510,7 +513,7 @@
         if let Some((_, site)) = best {
             self.gang_later(&need, tasks.len(), site.as_ref());
         }
-        self.make_room(&need, book, false);
+        self.make_room(&need, book, false, &sites);
     }
 
     /// Live slots for all tasks of a gang together, and what the worst of them scores.
@@ -584,8 +587,9 @@
     }
 
     /// Stops tasks of lower rank, or of teams beyond their guarantee for one that is owed its
-    /// own, on the machine where least work is lost. One machine per pass and job.
-    fn make_room(&mut self, need: &Need, book: &Book, owed: bool) {
+    /// own, where least work is lost: on one machine per pass for a job whose tasks start one by
+    /// one, for a gang on as many as it needs, in one of its sites.
+    fn make_room(&mut self, need: &Need, book: &Book, owed: bool, sites: &[Option<Zone>]) {
         let job = need.job;
         if self.can_wait(job) {
             return;
@@ -599,12 +603,15 @@
         }
         self.searches += 1;
         self.plan.steps += VICTIM_STEPS * self.fleet.machines.len() as u64;
-        let mut best: Option<(f64, HostId, Vec<TaskId>)> = None;
+        let count = if job.spec.shape == Shape::Gang { job.spec.tasks as usize } else { 1 };
+        let started: HashSet<&HostId> = self.plan.starts.iter().map(|(_, _, h)| h).collect();
+        let mut offers: Vec<Offer> = Vec::new();
         for m in self.fleet.machines.values() {
             let taken = m.reserved.as_ref().is_some_and(|(_, until)| self.now < *until)
                 || self.plan.reserve.iter().any(|(h, _)| *h == m.id);
             if !usable(m, self.now)
                 || taken
+                || count > 1 && started.contains(&m.id)
                 || job.avoids(&m.id)
                 || !need.allows(&m.flavor, &m.zone, m.spot)
                 || !need.zone_open(&m.zone, &job.zones)
@@ -612,31 +619,41 @@
             {
                 continue;
             }
-            let Some((cost, victims)) = self.victims(m, need, book, owed) else {
-                continue;
-            };
-            if best.as_ref().is_none_or(|(c, _, _)| cost < *c) {
-                best = Some((cost, m.id.clone(), victims));
+            self.offers(m, need, book, owed, count, &mut offers);
+        }
+        offers.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        let mut best: Option<(f64, Vec<&Offer>)> = None;
+        for site in sites {
+            let here = |o: &&Offer| site.as_ref().is_none_or(|zone| o.machine.zone == *zone);
+            let found: Vec<&Offer> = offers.iter().filter(here).take(count).collect();
+            let cost = found.iter().map(|o| o.cost).sum();
+            if found.len() == count && best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                best = Some((cost, found));
             }
         }
-        let Some((_, host, victims)) = best else {
-            return;
-        };
-        for task in victims {
-            let grace = book.get(&task.job).map_or(0.0, |j| j.spec.save_s);
-            self.plan.stops.push((task, StopWhy::Preempted, grace));
+        for offer in best.into_iter().flat_map(|(_, found)| found) {
+            for task in &offer.victims {
+                let grace = book.get(&task.job).map_or(0.0, |j| j.spec.save_s);
+                self.plan.stops.push((task.clone(), StopWhy::Preempted, grace));
+            }
+            let keep = (offer.machine.id.clone(), id.clone());
+            if !self.plan.reserve.contains(&keep) {
+                self.plan.reserve.push(keep);
+            }
         }
-        self.plan.reserve.push((host, id.clone()));
     }
 
-    /// Tasks whose end would make room on the machine, and what work that loses (core-seconds).
-    fn victims(
+    /// What a machine could give to up to `most` tasks, one after another: the tasks whose end
+    /// would make room for each, and what work that loses.
+    fn offers<'m>(
         &self,
-        m: &Machine,
+        m: &'m Machine,
         need: &Need,
         book: &Book,
         owed: bool,
-    ) -> Option<(f64, Vec<TaskId>)> {
+        most: usize,
+        offers: &mut Vec<Offer<'m>>,
+    ) {
         let mut free = self.fleet.free_room(m);
         let mut candidates: Vec<(f64, &TaskId, &Room)> = Vec::new();
         for (task, room) in &m.held {
@@ -663,17 +680,23 @@
             candidates.push((lost * room.cpus.max(0.1), task, room));
         }
         candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let mut cost = 0.0;
-        let mut victims = Vec::new();
-        for (lost, task, room) in candidates {
-            if free.fits(&need.room) {
-                break;
+        let mut candidates = candidates.into_iter();
+        // A fetch keeps the whole task waiting, as work lost keeps others.
+        let fetch_s = self.yard.fetch_s(m, &need.job.spec);
+        let mut least = 0.0;
+        for _ in 0..most {
+            let (mut cost, mut victims) = (fetch_s * need.room.cpus, Vec::new());
+            while !free.fits(&need.room) {
+                let Some((lost, task, room)) = candidates.next() else { return };
+                free.add(room);
+                cost += lost;
+                victims.push(task.clone());
             }
-            free.add(room);
-            cost += lost;
-            victims.push(task.clone());
+            free.take(&need.room);
+            // Sorted by cost, a machine's places must still come in their order.
+            least = f64::max(least, cost);
+            offers.push(Offer { cost: least, machine: m, victims });
         }
-        free.fits(&need.room).then_some((cost, victims))
     }
 
     /// Whether a team uses more than its guarantee.
@@ -688,6 +711,13 @@
     }
 }
 
+/// Room for one task that a machine could give, and at what loss.
+struct Offer<'m> {
+    cost: f64,
+    machine: &'m Machine,
+    victims: Vec<TaskId>,
+}
+
 /// Places for the tasks of one job, one after another.
 struct Places {
     search: Search,
--- a/src/placement/slots.rs
+++ b/src/placement/slots.rs
@@ -369,6 +369,17 @@
         self.slots[at].machine.is_some_and(|m| m.has_image(image))
     }
 
+    /// Seconds that a job's image takes to a machine, as far as nothing else is being fetched.
+    pub fn fetch_s(&self, m: &Machine, spec: &JobSpec) -> f64 {
+        let flavor = self.kinds.iter().find(|(f, ..)| f.label == m.flavor).map(|(f, ..)| f);
+        match flavor {
+            Some(f) if f.fetch_gb_per_s > 0.0 && !m.has_image(&spec.image) => {
+                spec.image_gb / f.fetch_gb_per_s
+            }
+            _ => 0.0,
+        }
+    }
+
     /// What a task of the job makes of a slot.
     pub fn score_of(&self, need: &Need, at: usize) -> f64 {
         self.score(need, &self.slots[at])
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -11,7 +11,8 @@
 use crate::settings::{Objective, Operators, Settings};
 use crate::types::*;
 use crate::wire::{
-    Cause, JobSpec, JobStatus, Listed, MachineStatus, Order, Report, ReportAnswer, Shape, TaskPhase,
+    Cause, Command, JobSpec, JobStatus, Listed, MachineStatus, Order, Report, ReportAnswer, Shape,
+    TaskPhase,
 };
 use crate::workers::{Fleet, Freshness, Image, Life, Machine, Room};
 use std::collections::{BTreeMap, HashMap};
@@ -66,6 +67,8 @@
     noted: HostId,
     last_move: Mono,
     expected: Vec<(Job, u32)>,
+    /// Stops that do not wait for their machine's next report.
+    hasty: BTreeMap<HostId, Vec<Order>>,
     place_dirty: bool,
     /// When the next placement pass may be: the last one's cost decides.
     next_place: Mono,
@@ -91,6 +94,7 @@
             noted: HostId::new(""),
             last_move: Mono(0),
             expected: Vec::new(),
+            hasty: BTreeMap::new(),
             place_dirty: true,
             next_place: Mono(0),
             next_tick: now,
@@ -268,6 +272,46 @@
         }
         let since = hold.stop.as_ref().map_or(now, |s| s.since);
         hold.stop = Some(Stop { why, grace_s, since });
+        if matches!(why, StopWhy::Preempted | StopWhy::Draining) {
+            let (host, attempt) = (hold.host.clone(), hold.attempt);
+            let orders = self.hasty.entry(host).or_default();
+            if orders.len() < MAX_ORDERS {
+                orders.push(Order::Stop { task: task.to_string(), attempt, grace_s });
+            }
+        }
+    }
+
+    /// Stops to be sent to a machine directly, with its address. They are harmless however late
+    /// they arrive, and go with the answers to its reports as well. Start commands never go here.
+    pub fn next_command(&mut self) -> Option<(HostId, String, Command)> {
+        loop {
+            let (host, orders) = self.hasty.pop_first()?;
+            let Some(m) = self.fleet.machines.get(&host) else { continue };
+            if matches!(m.life, Life::Live | Life::Closing | Life::Draining) && !m.addr.is_empty() {
+                let command = Command { token: self.token, shift: m.shift, orders };
+                return Some((host, m.addr.clone(), command));
+            }
+        }
+    }
+
+    /// Takes up what a worker said to a direct command. It may have been said before the answer to
+    /// the worker's open report arrived: what it does not list proves nothing, and it is not
+    /// ordered among the reports. What it shows as ended has ended.
+    pub fn on_obeyed(&mut self, report: &Report, now: Mono) {
+        let known = self.fleet.machines.get(&report.host).is_some_and(|m| m.shift == report.shift);
+        if !known || report.token != self.token || self.stage != Stage::Ruling {
+            return;
+        }
+        for row in report.tasks.iter().filter(|row| row.status == TaskPhase::Exited) {
+            let Some(task) = TaskId::parse(&row.task) else { continue };
+            let held_here =
+                self.book.get(&task.job).and_then(|j| j.hold(task.index)).is_some_and(|h| {
+                    h.host == report.host && h.attempt == row.attempt && h.shift == report.shift
+                });
+            if held_here {
+                self.exited(&task, row.cause, &report.host, now);
+            }
+        }
     }
 
     /// A job was ended: none of its tasks may start, and those on machines have to go.
@@ -1208,6 +1252,14 @@
             gangs.insert(id.clone(), attempt);
             self.assign(settings, &id, index, &host, attempt, now);
         }
+        // What was kept for a gang is free again once it has its places.
+        if plan.placed_kept {
+            for m in self.fleet.machines.values_mut() {
+                if m.reserved.as_ref().is_some_and(|(job, _)| gangs.contains_key(job)) {
+                    m.reserved = None;
+                }
+            }
+        }
         for (task, why, grace) in &plan.stops {
             self.stop(task, *why, *grace, now);
             self.clear_if_gang(task);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -209,6 +209,15 @@
     pub orders: Vec<Order>,
 }
 
+/// Orders sent to a worker directly.
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct Command {
+    #[serde(rename = "baton")]
+    pub token: Token,
+    pub shift: Shift,
+    pub orders: Vec<Order>,
+}
+
 #[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 pub struct Redirect {
     #[serde(rename = "foreman", skip_serializing_if = "Option::is_none")]
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -15,8 +15,8 @@
 use oatloom::store::{Lane, OpId, StoreOp, StoreReply};
 use oatloom::types::{HostId, JobId, Member, Mono, Now, Revision, Zone};
 use oatloom::wire::{
-    Catalog, Flavor, Hire, JobSpec, JobStatus, Listed, MachineList, MachineStatus, Rank, Redirect,
-    ReportAnswer, Shape,
+    Catalog, Command, Flavor, Hire, JobSpec, JobStatus, Listed, MachineList, MachineStatus, Rank,
+    Redirect, Report, ReportAnswer, Shape,
 };
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -49,7 +49,7 @@
 [[facts.objectives]]
 kind = "wait"
 class = "quick"
-within_s = 10.0
+within_s = 5.0
 [facts.workers]
 report_s = 3.0
 lease_s = 26.0
@@ -78,11 +78,44 @@
 }
 
 enum Message {
-    Node { node: usize, life: u64, event: Event },
-    Request { node: usize, from: From, request: Request, forwarded: bool },
-    Store { node: usize, life: u64, id: OpId, op: StoreOp, answer: bool },
-    Cloud { node: usize, life: u64, id: u64, op: CloudOp, answer: bool },
-    Reply { node: usize, from: From, reply: HttpReply },
+    Node {
+        node: usize,
+        life: u64,
+        event: Event,
+    },
+    Request {
+        node: usize,
+        from: From,
+        request: Request,
+        forwarded: bool,
+    },
+    Store {
+        node: usize,
+        life: u64,
+        id: OpId,
+        op: StoreOp,
+        answer: bool,
+    },
+    Cloud {
+        node: usize,
+        life: u64,
+        id: u64,
+        op: CloudOp,
+        answer: bool,
+    },
+    Reply {
+        node: usize,
+        from: From,
+        reply: HttpReply,
+    },
+    /// A direct command on its way, and whether its answer will be waited for.
+    Command {
+        node: usize,
+        life: u64,
+        addr: String,
+        command: Command,
+        answer: bool,
+    },
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -153,6 +186,10 @@
     pub checker: Checker,
 }
 
+fn obeyed(report: Option<Report>) -> Event {
+    Event::Obeyed { report: report.map(Box::new) }
+}
+
 fn settings(node: usize) -> Settings {
     let mut settings = Settings::parse(SETTINGS).expect("sound settings");
     let member = |n: usize| Member::new(&format!("n-{n}"));
@@ -338,6 +375,16 @@
                 }
                 Action::Store { id, lane, op } => self.ask_store(node, life, id, lane, op),
                 Action::Cloud { id, op } => self.ask_cloud(node, life, id, op),
+                Action::Command { addr, command } => {
+                    let (delay, answer) = self.fate();
+                    if !answer {
+                        let event = Event::Obeyed { report: None };
+                        self.send(800, Message::Node { node, life, event });
+                    }
+                    if let Some(delay) = delay {
+                        self.send(delay, Message::Command { node, life, addr, command, answer });
+                    }
+                }
                 Action::Ask { to, id, question } => {
                     let peer = to.as_str()[2..].parse().unwrap_or(0);
                     let request = match question {
@@ -432,6 +479,9 @@
                 }
             }
             Message::Reply { node, from, reply } => self.answered(node, from, reply),
+            Message::Command { node, life, addr, command, answer } => {
+                self.commanded(node, life, addr, command, answer);
+            }
         }
     }
 
@@ -494,6 +544,30 @@
         CloudReply::Hired(hosts)
     }
 
+    /// A hanging or cut worker takes a command up once it goes on, however late that is.
+    fn commanded(&mut self, node: usize, life: u64, addr: String, command: Command, answer: bool) {
+        let (now, host) = (self.now, addr.clone());
+        let cut = self.workers.get(&host).is_some_and(|w| self.apart(node, &w.place.zone));
+        let Some(worker) = self.workers.get_mut(&host) else {
+            return self.send(800, Message::Node { node, life, event: obeyed(None) });
+        };
+        let until = worker.hung_until.max(worker.cut_until);
+        if now < until || cut {
+            let delay = until.max(now + 5_000) - now;
+            if answer {
+                self.send(800, Message::Node { node, life, event: obeyed(None) });
+            }
+            let late = Message::Command { node, life, addr, command, answer: false };
+            return self.send(delay, late);
+        }
+        let (specs, rng) = (&self.specs, &mut self.rng);
+        let report = worker.command(now, &command, specs, rng, &mut self.checker);
+        if answer {
+            let delay = self.delay();
+            self.send(delay, Message::Node { node, life, event: obeyed(Some(report)) });
+        }
+    }
+
     fn apart(&self, node: usize, zone: &str) -> bool {
         self.apart.iter().any(|(n, z, until)| *n == node && ZONES[*z] == zone && self.now < *until)
     }
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -2,7 +2,9 @@
 
 use super::checker::{Checker, OnMachine, Place};
 use oatloom::types::{Attempt, HostId, Shift, Tally, Token, Zone};
-use oatloom::wire::{Cause, JobSpec, Order, Report, ReportAnswer, Shape, TaskPhase, TaskReport};
+use oatloom::wire::{
+    Cause, Command, JobSpec, Order, Report, ReportAnswer, Shape, TaskPhase, TaskReport,
+};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, HashMap};
@@ -151,14 +153,20 @@
     }
 
     pub fn report(&mut self, now: u64, id: u64, rng: &mut ChaCha8Rng) -> Report {
-        self.tally += 1;
         self.changed = false;
         self.last_report = now;
         self.waiting = Some((id, now));
         self.next_report = now + REPORT_MS * 3 / 4 + rng.random_range(0..REPORT_MS / 2);
+        self.state(now)
+    }
+
+    /// What the worker says of itself, in a report or in answer to a command.
+    fn state(&mut self, now: u64) -> Report {
+        self.tally += 1;
         Report {
             host: HostId::new(&self.host),
-            addr: "10.0.0.1:1".into(),
+            // Commands find their worker by its name here.
+            addr: self.host.clone(),
             flavor: self.place.flavor.clone(),
             zone: Zone::new(&self.place.zone),
             spot: self.place.spot,
@@ -204,7 +212,37 @@
         self.changed |= answer.token.0 > self.token;
         self.token = answer.token.0;
         self.lease_from = self.lease_from.max(sent);
-        for order in &answer.orders {
+        self.execute(now, &answer.orders, specs, rng, checker);
+    }
+
+    /// Takes a direct command, executed if token and session match.
+    pub fn command(
+        &mut self,
+        now: u64,
+        command: &Command,
+        specs: &HashMap<String, JobSpec>,
+        rng: &mut ChaCha8Rng,
+        checker: &mut Checker,
+    ) -> Report {
+        if command.token.0 >= self.token && command.shift.0 == self.shift {
+            self.changed |= command.token.0 > self.token;
+            self.token = command.token.0;
+            let start = command.orders.iter().any(|order| matches!(order, Order::Run { .. }));
+            assert!(!start, "a start command was sent directly and may arrive late");
+            self.execute(now, &command.orders, specs, rng, checker);
+        }
+        self.state(now)
+    }
+
+    fn execute(
+        &mut self,
+        now: u64,
+        orders: &[Order],
+        specs: &HashMap<String, JobSpec>,
+        rng: &mut ChaCha8Rng,
+        checker: &mut Checker,
+    ) {
+        for order in orders {
             let (Order::Run { task, attempt }
             | Order::Stop { task, attempt, .. }
             | Order::Forget { task, attempt }) = order;
