--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -218,9 +218,9 @@
         }
     }
 
-    /// A stand-in for a job that may come, one task of it.
-    pub fn expected(spec: &JobSpec, now: Mono) -> Self {
-        Self::new(JobSpec { tasks: 1, ..spec.clone() }, now, Revision(0))
+    /// A stand-in for a job that may come, with that many tasks.
+    pub fn expected(spec: &JobSpec, tasks: u32, now: Mono) -> Self {
+        Self::new(JobSpec { tasks, ..spec.clone() }, now, Revision(0))
     }
 
     /// The one place where the state changes.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -39,7 +39,7 @@
     /// Tasks that each array may have running at once by its rate.
     pub paced: &'a HashMap<JobId, u32>,
     pub awaited: Vec<(Kind, u32)>,
-    /// Tasks that are likely to come before a machine hired for them would be up.
+    /// Jobs that are likely to come before a machine hired for them would be up, and how many.
     pub expected: &'a [(Job, u32)],
     pub refused: &'a dyn Fn(&Kind) -> bool,
 }
@@ -156,7 +156,7 @@
     }
 }
 
-/// Tasks that are likely to come before a machine hired for them would be up, of classes that users
+/// Jobs that are likely to come before a machine hired for them would be up, of classes that users
 /// want started sooner than that. Arrivals are taken to come at the rate of the last minutes.
 pub fn expected(
     settings: &Settings,
@@ -171,7 +171,7 @@
     if !boot_s.is_finite() || window_s < boot_s {
         return Vec::new();
     }
-    let mut classes: BTreeMap<&str, (u32, u32, &crate::wire::JobSpec)> = BTreeMap::new();
+    let mut classes: BTreeMap<&str, (u32, u32, u32, &crate::wire::JobSpec)> = BTreeMap::new();
     let mut buckets: HashMap<(&str, u64), u32> = HashMap::new();
     for (at, spec) in &book.arrivals {
         // What comes at once is no rate: guards against taking a first load, or the jobs that a
@@ -179,12 +179,12 @@
         let bucket = buckets.entry((&spec.class, at.0 / ARRIVAL_BUCKET_MS.0)).or_default();
         *bucket += 1;
         if now.since(*at).secs() <= window_s && *bucket <= ARRIVAL_BUCKET_MOST {
-            let entry = classes.entry(&spec.class).or_insert((0, 0, spec));
-            *entry = (entry.0 + 1, entry.1 + spec.tasks, spec);
+            let entry = classes.entry(&spec.class).or_insert((0, 0, 0, spec));
+            *entry = (entry.0 + 1, entry.1 + spec.tasks, entry.2.max(spec.tasks), spec);
         }
     }
     let mut list = Vec::new();
-    for (class, (jobs, tasks, spec)) in classes {
+    for (class, (jobs, tasks, largest, spec)) in classes {
         let Some(within) = objective(settings, class, "wait") else { continue };
         if within > boot_s * BOOT_SPREAD + settings.facts.workers.report_s {
             continue;
@@ -192,7 +192,10 @@
         let mean = f64::from(jobs) / window_s * boot_s * BOOT_SPREAD;
         let jobs_ready = READY_MEAN * mean + READY_DEVIATIONS * mean.sqrt();
         let count = jobs_ready * f64::from(tasks) / f64::from(jobs);
-        list.push((Job::expected(spec, now), count.round() as u32));
+        // A gang needs its room in one piece.
+        let group = if spec.shape == Shape::Gang { largest } else { 1 };
+        let groups = (count / f64::from(group)).round() as u32;
+        list.push((Job::expected(spec, group, now), groups));
     }
     list.sort_by_key(|(job, _)| std::cmp::Reverse(job.spec.rank));
     list
@@ -283,7 +286,7 @@
         pass.singles(job, &rest, false, book, false);
     }
     for (job, count) in expected {
-        pass.keep_ready(job, *count);
+        pass.keep_ready(job, *count, book);
     }
     pass.plan.steps += pass.yard.steps + book.jobs.len() as u64;
     pass.plan
@@ -453,18 +456,86 @@
         best.map(|(_, at)| at)
     }
 
-    /// Keeps room for tasks that are likely to come: on live machines, on those on their way, or on
-    /// further ones.
-    fn keep_ready(&mut self, job: &Job, count: u32) {
+    /// Keeps room for jobs that are likely to come: where work of lower rank would give way, on
+    /// live machines, on those on their way, or on further ones.
+    fn keep_ready(&mut self, job: &Job, count: u32, book: &Book) {
         let need = Need::new(self.settings, job);
-        let mut places = Places::new(self, &need, BTreeMap::new(), None);
-        for _ in 0..count {
-            if let Some(at) = places.live(self, &need) {
-                self.plan.ready.extend(self.yard.slots[at].machine.map(|m| m.id.clone()));
-            } else if !places.later(self, &need, true) {
-                break;
+        let tasks = job.spec.tasks as usize;
+        let sites = self.sites(job);
+        let yielding = self.yielding(&need, book);
+        let there = |site: &Option<Zone>| match site {
+            Some(zone) => yielding.get(zone).copied().unwrap_or(0),
+            None => yielding.values().sum(),
+        };
+        let given: usize = sites.iter().map(|site| there(site) / tasks).sum();
+        // Cheap machines first, to be hired if need be: guards against keeping dear ones for good
+        // since they are there already.
+        let kinds = if job.spec.spot { vec![Some(true), None] } else { vec![None] };
+        for _ in given..count as usize {
+            let room = kinds.iter().find_map(|spot| {
+                self.cheapest_site(&need, tasks, &sites, *spot).map(|s| (s, *spot))
+            });
+            let Some((site, spot)) = room else { break };
+            let from = self.yard.taken_from();
+            self.gang_later(&need, tasks, site.as_ref(), spot);
+            self.plan.ready.extend(self.yard.live_since(from).map(|m| m.id.clone()));
+        }
+    }
+
+    /// Tasks of the job that each zone could take at once if work of lower rank gave way.
+    fn yielding(&mut self, need: &Need, book: &Book) -> BTreeMap<Zone, usize> {
+        let mut zones = BTreeMap::new();
+        for m in self.fleet.machines.values() {
+            if !usable(m, self.now) || !need.allows(&m.flavor, &m.zone, m.spot) {
+                continue;
+            }
+            let mut room = Room::default();
+            for (task, held) in &m.held {
+                let lower =
+                    |j: &Job| j.spec.shape == Shape::Array && j.spec.rank < need.job.spec.rank;
+                if book.get(&task.job).is_some_and(lower) {
+                    room.add(held);
+                }
+            }
+            self.plan.steps += m.held.len() as u64;
+            let mut places = 0;
+            while room.fits(&need.room) {
+                room.take(&need.room);
+                places += 1;
             }
+            *zones.entry(m.zone.clone()).or_default() += places;
         }
+        zones
+    }
+
+    /// The zones that a job whose tasks belong together may be in, or the choice of all.
+    fn sites(&self, job: &Job) -> Vec<Option<Zone>> {
+        if job.spec.one_zone {
+            self.settings.facts.zones.iter().cloned().map(Some).collect()
+        } else {
+            vec![None]
+        }
+    }
+
+    /// Where room for so many tasks, later if not now, hires for least.
+    fn cheapest_site(
+        &mut self,
+        need: &Need,
+        count: usize,
+        sites: &[Option<Zone>],
+        spot: Option<bool>,
+    ) -> Option<Option<Zone>> {
+        let mut best: Option<(f64, &Option<Zone>)> = None;
+        for site in sites {
+            let mark = self.mark(need.job);
+            if let Some(price) = self.gang_later(need, count, site.as_ref(), spot)
+                && best.is_none_or(|(least, _)| price < least)
+            {
+                best = Some((price, site));
+            }
+            self.roll_back(need.job, mark);
+        }
+        best.map(|(_, site)| site.clone())
     }
 
     /// A gang starts whole or not at all.
@@ -473,11 +544,7 @@
         if (self.within_limit(job)) < job.spec.tasks || tasks.len() < job.spec.tasks as usize {
             return;
         }
-        let sites: Vec<Option<Zone>> = if job.spec.one_zone {
-            self.settings.facts.zones.iter().cloned().map(Some).collect()
-        } else {
-            vec![None]
-        };
+        let sites = self.sites(job);
         // All zones are tried, since the first with room may be the dearest or have no images there.
         let mut best: Option<(f64, &Option<Zone>)> = None;
         for site in &sites {
@@ -498,22 +565,15 @@
             self.plan.placed_kept |= self.yard.kept_for(&job.spec.id);
             return;
         }
+        // Machines that are being cleared are kept for it; others would come later than those.
+        if self.make_room(&need, book, false, &sites) {
+            return;
+        }
         // Not now: count it against live room first, then machines on their way or to be hired,
         // so that nothing of lower rank takes what it will need. Where that hires for least.
-        let mut best: Option<(f64, &Option<Zone>)> = None;
-        for site in &sites {
-            let mark = self.mark(job);
-            if let Some(price) = self.gang_later(&need, tasks.len(), site.as_ref())
-                && best.is_none_or(|(least, _)| price < least)
-            {
-                best = Some((price, site));
-            }
-            self.roll_back(job, mark);
+        if let Some(site) = self.cheapest_site(&need, tasks.len(), &sites, None) {
+            self.gang_later(&need, tasks.len(), site.as_ref(), None);
         }
-        if let Some((_, site)) = best {
-            self.gang_later(&need, tasks.len(), site.as_ref());
-        }
-        self.make_room(&need, book, false, &sites);
     }
 
     /// Live slots for all tasks of a gang together, and what the worst of them scores.
@@ -544,10 +604,17 @@
     }
 
     /// Room for a gang on machines that are live, on their way or to be hired, and what the last
-    /// cost by the hour.
-    fn gang_later(&mut self, need: &Need, count: usize, site: Option<&Zone>) -> Option<f64> {
+    /// cost by the hour. `spot`: on machines of that kind only.
+    fn gang_later(
+        &mut self,
+        need: &Need,
+        count: usize,
+        site: Option<&Zone>,
+        spot: Option<bool>,
+    ) -> Option<f64> {
         let before = self.plan.hires.len();
         let mut places = Places::new(self, need, need.job.zones.clone(), site);
+        places.restrict(self, spot);
         let placed =
             (0..count).all(|_| places.live(self, need).is_some() || places.later(self, need, true));
         let price = |(kind, _): &(Kind, bool)| {
@@ -588,18 +655,18 @@
 
     /// Stops tasks of lower rank, or of teams beyond their guarantee for one that is owed its
     /// own, where least work is lost: on one machine per pass for a job whose tasks start one by
-    /// one, for a gang on as many as it needs, in one of its sites.
-    fn make_room(&mut self, need: &Need, book: &Book, owed: bool, sites: &[Option<Zone>]) {
+    /// one, for a gang on as many as it needs, in one of its sites. Says whether room is being made.
+    fn make_room(&mut self, need: &Need, book: &Book, owed: bool, sites: &[Option<Zone>]) -> bool {
         let job = need.job;
         if self.can_wait(job) {
-            return;
+            return false;
         }
         let id = &job.spec.id;
         let kept = self.yard.kept_for(id) || self.plan.reserve.iter().any(|(_, j)| j == id);
         // A search looks at every task on every machine; those left out have their turn in the
         // next pass.
         if kept || self.searches >= MAKE_ROOM_MOST {
-            return;
+            return kept;
         }
         self.searches += 1;
         self.plan.steps += VICTIM_STEPS * self.fleet.machines.len() as u64;
@@ -631,7 +698,8 @@
                 best = Some((cost, found));
             }
         }
-        for offer in best.into_iter().flat_map(|(_, found)| found) {
+        let Some((_, found)) = best else { return false };
+        for offer in found {
             for task in &offer.victims {
                 let grace = book.get(&task.job).map_or(0.0, |j| j.spec.save_s);
                 self.plan.stops.push((task.clone(), StopWhy::Preempted, grace));
@@ -641,6 +709,7 @@
                 self.plan.reserve.push(keep);
             }
         }
+        true
     }
 
     /// What a machine could give to up to `most` tasks, one after another: the tasks whose end
@@ -723,13 +792,23 @@
     search: Search,
     zones: BTreeMap<Zone, u32>,
     only: Option<Zone>,
+    spot: Option<bool>,
     mask: slots::Mask,
 }
 
 impl Places {
     fn new(pass: &Pass, need: &Need, zones: BTreeMap<Zone, u32>, only: Option<&Zone>) -> Self {
         let mask = pass.yard.mask(need, &zones, only);
-        Self { search: Search::default(), zones, only: only.cloned(), mask }
+        Self { search: Search::default(), zones, only: only.cloned(), spot: None, mask }
+    }
+
+    /// Leaves only cheap machines, or only ordinary ones.
+    fn restrict(&mut self, pass: &Pass, spot: Option<bool>) {
+        self.spot = spot;
+        let Some(wanted) = spot else { return };
+        for (open, (_, _, spot)) in self.mask.iter_mut().zip(&pass.yard.kinds) {
+            *open &= *spot == wanted;
+        }
     }
 
     /// The best live slot, which is taken.
@@ -767,6 +846,7 @@
         *self.zones.entry(pass.yard.zone(at).clone()).or_default() += 1;
         if need.job.spec.spread || need.job.spec.one_zone {
             self.mask = pass.yard.mask(need, &self.zones, self.only.as_ref());
+            self.restrict(pass, self.spot);
         }
     }
 }
--- a/src/placement/slots.rs
+++ b/src/placement/slots.rs
@@ -351,6 +351,17 @@
         Mark { taken: self.taken.len(), slots: self.slots.len(), none: self.none.len() }
     }
 
+    /// How many places have been taken so far.
+    pub fn taken_from(&self) -> usize {
+        self.taken.len()
+    }
+
+    /// The live machines on which places were taken since.
+    pub fn live_since(&self, from: usize) -> impl Iterator<Item = &'a Machine> + '_ {
+        let slots = self.taken[from..].iter().map(|taken| &self.slots[taken.at]);
+        slots.filter_map(|slot| slot.machine).filter(|m| m.life != Life::Booting)
+    }
+
     /// Gives up all places taken, and all machines wished for, since the mark.
     pub fn roll_back(&mut self, mark: Mark) {
         for taken in self.taken.drain(mark.taken..).rev() {
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -1025,7 +1025,7 @@
         }
         // Room that is kept ready belongs to the floor, and so to the target.
         for (job, count) in &self.expected {
-            let ready = self.core_equivalents(&job.spec) * f64::from(*count);
+            let ready = self.core_equivalents(&job.spec) * f64::from(job.spec.tasks * count);
             floor += ready;
             target += ready;
         }
@@ -1092,7 +1092,7 @@
             let entry = lives.entry(format!("{:?} {kind}", m.life)).or_default();
             *entry = (entry.0 + 1, entry.1 + room.cpus, entry.2 + room.gpus);
         }
-        let expected: u32 = self.expected.iter().map(|(_, n)| n).sum();
+        let expected: u32 = self.expected.iter().map(|(job, n)| job.spec.tasks * n).sum();
         log::debug!(
             "fleet: machines, free cores and GPUs {lives:?}; ready for {expected} on {}; wished {}",
             plan.ready.len(),
