An array's time left is counted without a boot, during which no machine hired for it works

Cause: arrays waited 30 to 60 s for half of their tasks to be assigned: at r over d with d the whole time left, N* grew only as the boots used that time up.

--- a/src/reign.rs
+++ b/src/reign.rs
@@ -988,7 +988,15 @@
             .map(|f| f.fetch_gb_per_s)
             .fold(0.0, f64::max);
         let fetch_s = if fetch > 0.0 { spec.image_gb / fetch } else { 0.0 };
-        2.0 * settings.facts.workers.report_s + fetch_s
+        let boot = self
+            .fleet
+            .catalog
+            .iter()
+            .flat_map(|c| c.flavors.iter())
+            .map(|f| f.boot_s)
+            .fold(f64::INFINITY, f64::min);
+        let boot_s = if boot.is_finite() { boot } else { 0.0 };
+        2.0 * settings.facts.workers.report_s + fetch_s + boot_s
     }
 
     /// Rates of all jobs, the target N*, and the floor of services, gangs and guarantees.
