A cut of the rates is borne by the arrays with most left; those with least left go first

Cause: in a burst N* is up to twice the rented cores plus alpha; cut evenly, all rates were too low and small arrays were as late as large ones (88 tasks took 127 s beside 2,069). The sum of the rates is still scaled by (N + alpha)/N*; within it the least work left is served first, and arrays without a deadline of their own take their turn in that order.

--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -201,6 +201,13 @@
     list
 }
 
+/// By what arrays without a deadline of their own are ordered among jobs of their rank: the tasks
+/// left. Guards against one large array that makes many small ones late and is late all the same.
+fn work_left(job: &Job) -> u32 {
+    let undated = job.spec.shape == Shape::Array && job.spec.deadline_s.is_none();
+    if undated { job.spec.tasks - job.done } else { 0 }
+}
+
 struct Pass<'a> {
     now: Mono,
     settings: &'a Settings,
@@ -229,8 +236,8 @@
     order.sort_by(|(a, due_a), (b, due_b)| {
         let (ja, jb) = (&book.jobs[a], &book.jobs[b]);
         let guarantee = |id| !guaranteed.contains_key(id);
-        (jb.spec.rank, guarantee(a), due_a, a)
-            .cmp(&(ja.spec.rank, guarantee(b), due_b, b))
+        (jb.spec.rank, guarantee(a), work_left(ja), due_a, a)
+            .cmp(&(ja.spec.rank, guarantee(b), work_left(jb), due_b, b))
             .then(ja.submitted.cmp(&jb.submitted))
     });
     let mut pass = Pass {
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -1005,7 +1005,7 @@
         settings: &Settings,
         tick_s: f64,
         now: Mono,
-    ) -> (f64, f64, Vec<(JobId, f64, f64)>) {
+    ) -> (f64, f64, Vec<(JobId, f64, f64, f64)>) {
         let owed = placement::guaranteed(settings, &self.book);
         for job in self.book.jobs.values_mut() {
             if let Some(measured) = job.measured.take() {
@@ -1029,7 +1029,7 @@
                 self.array_rate(settings, job, eq, tick_s, now)
             };
             target += rate;
-            rates.push((id.clone(), rate, eq));
+            rates.push((id.clone(), rate, eq, f64::from(job.spec.tasks - job.done)));
         }
         // Room that is kept ready belongs to the floor, and so to the target.
         for (job, count) in &self.expected {
@@ -1064,9 +1064,12 @@
             .sum();
         let rented = self.rented() + awaited;
         let factor = scaling::rate_factor(target, rented, ops.beta);
+        let shares =
+            scaling::shares(rates.iter().map(|(_, rate, eq, left)| (*rate, eq * left)), factor);
         self.paced = rates
-            .into_iter()
-            .map(|(id, rate, eq)| (id, (rate * factor / eq).ceil().max(1.0) as u32))
+            .iter()
+            .zip(shares)
+            .map(|((id, _, eq, _), share)| (id.clone(), (share / eq).ceil().max(1.0) as u32))
             .collect();
         let bounds =
             Bounds { min: floor, max: if ops.max_cores > 0.0 { ops.max_cores } else { f64::MAX } };
--- a/src/scaling.rs
+++ b/src/scaling.rs
@@ -33,6 +33,25 @@
     }
 }
 
+/// What each job gets of the rates scaled by `factor`, given its rate and the work it has left. A
+/// factor above 1 goes to all alike. One below 1 holds for the sum: the jobs with least left get
+/// their rates in full, and the others' time is lengthened. Cut evenly, all of them were late.
+pub fn shares(jobs: impl Iterator<Item = (f64, f64)>, factor: f64) -> Vec<f64> {
+    let jobs: Vec<(f64, f64)> = jobs.collect();
+    if factor >= 1.0 {
+        return jobs.into_iter().map(|(rate, _)| rate * factor).collect();
+    }
+    let mut order: Vec<usize> = (0..jobs.len()).collect();
+    order.sort_by(|a, b| jobs[*a].1.total_cmp(&jobs[*b].1));
+    let mut left = factor * jobs.iter().map(|(rate, _)| rate).sum::<f64>();
+    let mut shares = vec![0.0; jobs.len()];
+    for at in order {
+        shares[at] = jobs[at].0.min(left);
+        left -= shares[at];
+    }
+    shares
+}
+
 /// Bounds of rented cores.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
@@ -51,6 +70,16 @@
 mod tests {
     use super::*;
 
+    /// Scaled down, the sum is the document's; the least work left is served first.
+    #[test]
+    fn a_cut_is_borne_by_those_with_most_left() {
+        let jobs = [(40.0, 900.0), (10.0, 20.0), (30.0, 100.0)];
+        let cut = shares(jobs.into_iter(), 0.5);
+        assert_eq!(cut, [0.0, 10.0, 30.0]);
+        assert_eq!(shares(jobs.into_iter(), 0.9), [32.0, 10.0, 30.0]);
+        assert_eq!(shares(jobs.into_iter(), 1.5), [60.0, 15.0, 45.0]);
+    }
+
     #[test]
     fn rate_is_work_over_time_left() {
         let demand = Demand { work: 1200.0, left_s: 60.0, most: 100.0 };
