Gangs on machines that are drained stop in order: all their tasks are told directly, with grace

Cause: only the task on the drained machine was told to save, the others lost it and fell back to their last checkpoint; a gang that had not started was given up for one task that a drain took. Now all tasks of a running gang are told at once, by /do and with the answers to reports, and nothing less is said to them while they save; one that gathers keeps its attempt and gets a replacement.

--- a/src/reign.rs
+++ b/src/reign.rs
@@ -7,7 +7,7 @@
 use crate::jobs::*;
 use crate::mesh::Notes;
 use crate::placement::{self, Inputs, Plan};
-use crate::scaling::{self, Bounds, Demand};
+use crate::scaling::{self, Bounds, Claim, Demand};
 use crate::settings::{Objective, Operators, Settings};
 use crate::types::*;
 use crate::wire::{
@@ -281,6 +281,20 @@
         }
     }
 
+    /// Stops a running gang so that its progress is saved: all its tasks must hear of it within
+    /// `gang_peer_s`, with the grace to save. What has not ended yet is not told a second time with
+    /// less, as it would be if the gang were taken to have failed.
+    fn stop_gang(&mut self, id: &JobId, why: StopWhy, now: Mono) {
+        let Some(job) = self.book.jobs.get_mut(id) else { return };
+        let Gang::Running(attempt) = job.gang else { return };
+        job.gang_enter(Gang::Clearing(attempt), "stopped in order");
+        let grace_s = job.spec.save_s;
+        let held: Vec<u32> = job.holds().map(|(i, _)| i).collect();
+        for index in held {
+            self.stop(&TaskId::new(id, index), why, grace_s, now);
+        }
+    }
+
     /// Stops to be sent to a machine directly, with its address. They are harmless however late
     /// they arrive, and go with the answers to its reports as well. Start commands never go here.
     pub fn next_command(&mut self) -> Option<(HostId, String, Command)> {
@@ -613,8 +627,13 @@
                 }
             }
             Cause::Stopped => {
+                // A gang that has not started waits for a replacement of what a drain took.
+                let replaced = self.book.get(id).is_some_and(|j| {
+                    let drained = |h: &Hold| h.stop.is_some_and(|s| s.why == StopWhy::Draining);
+                    matches!(j.gang, Gang::Gathering(_)) && j.hold(index).is_some_and(drained)
+                });
                 self.free(id, index, false, now);
-                gang_over = Some("a task was stopped");
+                gang_over = (!replaced).then_some("a task was stopped");
             }
             Cause::Peers | Cause::Incomplete => {
                 self.free(id, index, false, now);
@@ -935,7 +954,13 @@
             }
         }
         for (task, grace) in stops {
-            self.stop(&task, StopWhy::Draining, grace, now);
+            let gang = self.book.get(&task.job).map(|j| j.gang);
+            match gang {
+                Some(Gang::Running(_)) => self.stop_gang(&task.job, StopWhy::Draining, now),
+                // It may have been stopped along with another task of its gang.
+                Some(Gang::Clearing(_)) => {}
+                _ => self.stop(&task, StopWhy::Draining, grace, now),
+            }
         }
     }
 
@@ -1005,7 +1030,7 @@
         settings: &Settings,
         tick_s: f64,
         now: Mono,
-    ) -> (f64, f64, Vec<(JobId, f64, f64, f64)>) {
+    ) -> (f64, f64, Vec<(JobId, Claim)>) {
         let owed = placement::guaranteed(settings, &self.book);
         for job in self.book.jobs.values_mut() {
             if let Some(measured) = job.measured.take() {
@@ -1013,7 +1038,7 @@
             }
         }
         let (mut target, mut floor) = (0.0, 0.0);
-        let mut rates = Vec::new();
+        let mut claims = Vec::new();
         for (id, job) in self.book.jobs.iter().filter(|(_, j)| j.state == JobState::Open) {
             let eq = self.core_equivalents(&job.spec).max(1e-3);
             let full = eq * f64::from(job.spec.tasks - job.done);
@@ -1029,7 +1054,8 @@
                 self.array_rate(settings, job, eq, tick_s, now)
             };
             target += rate;
-            rates.push((id.clone(), rate, eq, f64::from(job.spec.tasks - job.done)));
+            let left = job.spec.tasks - job.done;
+            claims.push((id.clone(), Claim { rate, task_cores: eq, left }));
         }
         // Room that is kept ready belongs to the floor, and so to the target.
         for (job, count) in &self.expected {
@@ -1037,7 +1063,7 @@
             floor += ready;
             target += ready;
         }
-        (target, floor, rates)
+        (target, floor, claims)
     }
 
     fn rented(&self) -> f64 {
@@ -1052,7 +1078,7 @@
 
     /// One period of the control loop.
     fn scale(&mut self, settings: &Settings, ops: &Operators, desk: &mut CloudDesk, now: Mono) {
-        let (target, floor, rates) = self.demand(settings, ops.tick().secs(), now);
+        let (target, floor, claims) = self.demand(settings, ops.tick().secs(), now);
         self.expected = {
             let known = self.book.arrivals.iter().map(|(at, _)| *at).min();
             let since = known.unwrap_or(self.since).min(self.since);
@@ -1064,13 +1090,11 @@
             .sum();
         let rented = self.rented() + awaited;
         let factor = scaling::rate_factor(target, rented, ops.beta);
-        let shares =
-            scaling::shares(rates.iter().map(|(_, rate, eq, left)| (*rate, eq * left)), factor);
-        self.paced = rates
-            .iter()
-            .zip(shares)
-            .map(|((id, _, eq, _), share)| (id.clone(), (share / eq).ceil().max(1.0) as u32))
-            .collect();
+        let (ids, claims): (Vec<JobId>, Vec<Claim>) = claims.into_iter().unzip();
+        let tasks =
+            |(claim, share): (&Claim, f64)| (share / claim.task_cores).ceil().max(1.0) as u32;
+        let shares = scaling::shares(&claims, factor);
+        self.paced = ids.into_iter().zip(claims.iter().zip(shares).map(tasks)).collect();
         let bounds =
             Bounds { min: floor, max: if ops.max_cores > 0.0 { ops.max_cores } else { f64::MAX } };
         // Machines are larger than a step: what the loop has added or cut, but no machine yet
--- a/src/scaling.rs
+++ b/src/scaling.rs
@@ -33,20 +33,31 @@
     }
 }
 
-/// What each job gets of the rates scaled by `factor`, given its rate and the work it has left. A
-/// factor above 1 goes to all alike. One below 1 holds for the sum: the jobs with least left get
-/// their rates in full, and the others' time is lengthened. Cut evenly, all of them were late.
-pub fn shares(jobs: impl Iterator<Item = (f64, f64)>, factor: f64) -> Vec<f64> {
-    let jobs: Vec<(f64, f64)> = jobs.collect();
+/// What an array asks of the rented cores.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Claim {
+    /// Its rate in cores.
+    pub rate: f64,
+    /// Core equivalents of a task.
+    pub task_cores: f64,
+    /// Tasks left.
+    pub left: u32,
+}
+
+/// What each array gets of the rates scaled by `factor`. A factor above 1 goes to all alike. One
+/// below 1 holds for the sum: the arrays with least left get their rates in full, and the others'
+/// time is lengthened. Cut evenly, all of them were late.
+pub fn shares(claims: &[Claim], factor: f64) -> Vec<f64> {
     if factor >= 1.0 {
-        return jobs.into_iter().map(|(rate, _)| rate * factor).collect();
+        return claims.iter().map(|claim| claim.rate * factor).collect();
     }
-    let mut order: Vec<usize> = (0..jobs.len()).collect();
-    order.sort_by(|a, b| jobs[*a].1.total_cmp(&jobs[*b].1));
-    let mut left = factor * jobs.iter().map(|(rate, _)| rate).sum::<f64>();
-    let mut shares = vec![0.0; jobs.len()];
+    let work = |at: usize| claims[at].task_cores * f64::from(claims[at].left);
+    let mut order: Vec<usize> = (0..claims.len()).collect();
+    order.sort_by(|a, b| work(*a).total_cmp(&work(*b)));
+    let mut left = factor * claims.iter().map(|claim| claim.rate).sum::<f64>();
+    let mut shares = vec![0.0; claims.len()];
     for at in order {
-        shares[at] = jobs[at].0.min(left);
+        shares[at] = claims[at].rate.min(left);
         left -= shares[at];
     }
     shares
@@ -73,11 +84,11 @@
     /// Scaled down, the sum is the document's; the least work left is served first.
     #[test]
     fn a_cut_is_borne_by_those_with_most_left() {
-        let jobs = [(40.0, 900.0), (10.0, 20.0), (30.0, 100.0)];
-        let cut = shares(jobs.into_iter(), 0.5);
-        assert_eq!(cut, [0.0, 10.0, 30.0]);
-        assert_eq!(shares(jobs.into_iter(), 0.9), [32.0, 10.0, 30.0]);
-        assert_eq!(shares(jobs.into_iter(), 1.5), [60.0, 15.0, 45.0]);
+        let claim = |rate, left| Claim { rate, task_cores: 2.0, left };
+        let claims = [claim(40.0, 900), claim(10.0, 20), claim(30.0, 100)];
+        assert_eq!(shares(&claims, 0.5), [0.0, 10.0, 30.0]);
+        assert_eq!(shares(&claims, 0.9), [32.0, 10.0, 30.0]);
+        assert_eq!(shares(&claims, 1.5), [60.0, 15.0, 45.0]);
     }
 
     #[test]
