--- a/src/constants.rs
+++ b/src/constants.rs
@@ -237,7 +237,9 @@
 pub const BOOT_PATIENCE: f64 = 4.0;
 /// An idle machine is kept at least this long after its last task: starts come in bursts, and the
 /// first minute is paid for in any case.
-pub const IDLE_KEEP_MS: Millis = Millis(20_000);
+pub const IDLE_KEEP_MS: Millis = Millis(10_000);
+/// What a machine costs at least (protocol): one that is younger is kept, since it is paid for.
+pub const LEAST_CHARGE_MS: Millis = Millis(60_000);
 /// Attempts at a hire whose answer was lost, before the list is left to show the machines.
 pub const HIRE_TRIES: u32 = 6;
 
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -1164,6 +1164,7 @@
             .machines
             .values()
             .filter(|m| m.life == Life::Live && m.empty() && now.since(m.idle_since) >= keep)
+            .filter(|m| now.since(m.born) >= LEAST_CHARGE_MS)
             .filter(|m| !plan.ready.contains(&m.id))
             .filter(|m| m.reserved.as_ref().is_none_or(|(_, until)| now >= *until))
             .filter_map(|m| {
