In calm times gangs save and go on on cheap machines, so that ordinary ones can go back

One at a time, only while nothing else is wanted, not within 35 s of its start, with 40 s or more left, and to machines with its image or a short fetch; cheap machines are hired for it.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -193,6 +193,14 @@
 pub const CLOSING_MOST: usize = 2;
 /// Seconds of fetching that weigh as much as a whole machine left over.
 pub const FETCH_WEIGHT_S: f64 = 20.0;
+/// A gang has to have run this long before it is moved to cheap machines: users do not count a start
+/// that is followed by a stop within half a minute.
+pub const MOVE_SETTLED_S: f64 = 35.0;
+/// A move costs a gang some five seconds of progress, and cheap machines their boot: so much of its
+/// run has to be left, by its owner's estimate.
+pub const MOVE_WORTH_S: f64 = 40.0;
+/// Longest fetch that a move may wait for.
+pub const MOVE_FETCH_S: f64 = 2.0;
 /// Machines in a zone that make its prices count double: among equal prices the emptier zone wins.
 pub const ZONE_EVENNESS: f64 = 1_000.0;
 /// An array of which nothing runs after this long gets a machine whatever the loop's target, in
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -6,7 +6,7 @@
 
 use crate::cloud::Kind;
 use crate::constants::*;
-use crate::jobs::{Book, Gang, Job, JobState, StopWhy, Usage};
+use crate::jobs::{Book, Gang, Hold, Job, JobState, StopWhy, Usage};
 use crate::settings::Settings;
 use crate::types::*;
 use crate::wire::{Flavor, Shape};
@@ -23,6 +23,8 @@
     pub reserve: Vec<(HostId, JobId)>,
     /// Machines wanted; `true` where the loop's bound must not hold them back.
     pub hires: Vec<(Kind, bool)>,
+    /// Gangs that should save and go on on cheap machines, which are kept for them.
+    pub moves: Vec<JobId>,
     /// Live machines whose room is kept ready for jobs that are likely to come.
     pub ready: BTreeSet<HostId>,
     /// Whether a gang was placed for which machines had been kept.
@@ -295,6 +297,7 @@
     for (job, count) in expected {
         pass.keep_ready(job, *count, book);
     }
+    pass.cheapen(book);
     pass.plan.steps += pass.yard.steps + book.jobs.len() as u64;
     pass.plan
 }
@@ -489,6 +492,76 @@
         }
     }
 
+    /// While nothing else is wanted, has the gang whose move to cheap machines saves most go there,
+    /// or hires them for it: in a burst gangs start where room is, which keeps ordinary machines
+    /// rented long after it.
+    fn cheapen(&mut self, book: &Book) {
+        if !self.plan.hires.is_empty() || self.searches > 0 || !self.plan.starts.is_empty() {
+            return;
+        }
+        let worth = |job: &Job| -> Option<f64> {
+            let spec = &job.spec;
+            let steady = spec.shape == Shape::Gang
+                && spec.spot
+                && spec.checkpoint_s > 0.0
+                && job.state == JobState::Open
+                && matches!(job.gang, Gang::Running(_))
+                && job.held == spec.tasks;
+            let ran = |h: &Hold| h.running_since.map_or(0.0, |t| self.now.since(t).secs());
+            let settled = |h: &Hold| h.stop.is_none() && ran(h) >= MOVE_SETTLED_S;
+            if !steady || !job.holds().all(|(_, h)| settled(h)) {
+                return None;
+            }
+            let dear = |h: &Hold| self.fleet.machines.get(&h.host).is_some_and(|m| !m.spot);
+            let dear = job.holds().filter(|(_, h)| dear(h)).count();
+            let longest = job.holds().map(|(_, h)| ran(h)).fold(0.0, f64::max);
+            let left_s = spec.estimate_s - longest - spec.save_s;
+            (dear > 0 && left_s >= MOVE_WORTH_S).then_some(dear as f64 * left_s)
+        };
+        let jobs = book.jobs.values().filter_map(|job| Some((worth(job)?, job)));
+        let most = jobs.max_by(|a, b| a.0.total_cmp(&b.0));
+        let Some((_, job)) = most else { return };
+        self.plan.steps += book.jobs.len() as u64;
+        let need = Need::new(self.settings, job);
+        let tasks = job.spec.tasks as usize;
+        let sites = self.sites(job);
+        let mut best: Option<(f64, Vec<usize>)> = None;
+        for site in &sites {
+            let mark = self.mark(job);
+            let mut places = Places::new(self, &need, BTreeMap::new(), site.as_ref());
+            places.restrict(self, Some(true));
+            let found: Vec<usize> = (0..tasks).map_while(|_| places.live(self, &need)).collect();
+            let slots = &self.yard.slots;
+            let machines = || found.iter().filter_map(|at| slots[*at].machine);
+            let fetch_s = machines().map(|m| self.yard.fetch_s(m, &job.spec)).fold(0.0, f64::max);
+            let here = found.len() == tasks && fetch_s <= MOVE_FETCH_S;
+            if here && best.as_ref().is_none_or(|(least, _)| fetch_s < *least) {
+                best = Some((fetch_s, found));
+            }
+            self.roll_back(job, mark);
+        }
+        match best {
+            Some((_, found)) => {
+                for at in found {
+                    let Some(m) = self.yard.slots[at].machine else { continue };
+                    let keep = (m.id.clone(), job.spec.id.clone());
+                    if !self.plan.reserve.contains(&keep) {
+                        self.plan.reserve.push(keep);
+                    }
+                }
+                self.plan.moves.push(job.spec.id.clone());
+            }
+            None => {
+                // As if it were nowhere yet: it may go to another zone.
+                let stand_in = Job::expected(&job.spec, job.spec.tasks, job.submitted);
+                let need = Need::new(self.settings, &stand_in);
+                if let Some(site) = self.cheapest_site(&need, tasks, &sites, Some(true)) {
+                    self.gang_later(&need, tasks, site.as_ref(), Some(true));
+                }
+            }
+        }
+    }
+
     /// Tasks of the job that each zone could take at once if work of lower rank gave way.
     fn yielding(&mut self, need: &Need, book: &Book) -> BTreeMap<Zone, usize> {
         let mut zones = BTreeMap::new();
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -272,7 +272,7 @@
         }
         let since = hold.stop.as_ref().map_or(now, |s| s.since);
         hold.stop = Some(Stop { why, grace_s, since });
-        if matches!(why, StopWhy::Preempted | StopWhy::Draining) {
+        if matches!(why, StopWhy::Preempted | StopWhy::Draining | StopWhy::Moved) {
             let (host, attempt) = (hold.host.clone(), hold.attempt);
             let orders = self.hasty.entry(host).or_default();
             if orders.len() < MAX_ORDERS {
@@ -1300,6 +1300,9 @@
             self.stop(task, *why, *grace, now);
             self.clear_if_gang(task);
         }
+        for id in &plan.moves {
+            self.stop_gang(id, StopWhy::Moved, now);
+        }
         for (host, job) in &plan.reserve {
             if let Some(m) = self.fleet.machines.get_mut(host) {
                 log::debug!("machine {host}: kept for {job}");
