--- a/src/constants.rs
+++ b/src/constants.rs
@@ -25,6 +25,12 @@
 pub const CUT_PERIOD_MS: Millis = Millis(5_000);
 /// Weight of one task in what is held of its class's misjudged run times: some ten tasks count.
 pub const BIAS_GAIN: f64 = 0.1;
+/// What is left of a class's longest run, over its estimate, with each further task: a tenth of it
+/// is forgotten in some two hundred.
+pub const LONGEST_KEPT: f64 = 0.9995;
+/// How much of the time that the longest run on beyond the mean is taken off an array's time left.
+/// Few tasks are that long; without them counted, large arrays ended just too late.
+pub const TAIL_WEIGHT: f64 = 0.5;
 
 // --- Clocks and leadership --------------------------------------------------
 
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -29,21 +29,28 @@
 
 /// By how much the owners of a class misjudge their tasks' run times.
 #[derive(Clone, Copy, Debug)]
-struct ClassBias(f64);
+struct ClassBias {
+    /// Actual over estimated time, a running mean.
+    mean: f64,
+    /// The longest lately; an array is done when its longest task is.
+    longest: f64,
+}
 
 impl Default for ClassBias {
     fn default() -> Self {
-        Self(1.0)
+        Self::new(1.0)
     }
 }
 
 impl ClassBias {
-    fn saw(&mut self, ratio: f64) {
-        self.0 += BIAS_GAIN * (ratio.clamp(0.1, 10.0) - self.0);
+    fn new(mean: f64) -> Self {
+        Self { mean, longest: mean }
     }
 
-    fn factor(self) -> f64 {
-        self.0
+    fn saw(&mut self, ratio: f64) {
+        let ratio = ratio.clamp(0.1, 10.0);
+        self.mean += BIAS_GAIN * (ratio - self.mean);
+        self.longest = (self.longest * LONGEST_KEPT).max(ratio);
     }
 }
 
@@ -151,7 +158,7 @@
         Notes {
             token: self.token,
             images,
-            shown: self.shown.iter().map(|(class, bias)| (class.clone(), bias.factor())).collect(),
+            shown: self.shown.iter().map(|(class, bias)| (class.clone(), bias.mean)).collect(),
             arrivals: arrivals.into_values().collect(),
         }
     }
@@ -163,7 +170,7 @@
             self.recalled.insert(host, images.into_iter().map(ready).collect());
         }
         for (class, factor) in notes.shown {
-            self.shown.insert(class, ClassBias(factor));
+            self.shown.insert(class, ClassBias::new(factor));
         }
         // Of the jobs that came before the notes, the book knows only those still open.
         let mut arrivals: Vec<(Mono, Arc<JobSpec>)> =
@@ -979,12 +986,16 @@
             .unwrap_or(spec.cpus)
     }
 
+    fn bias(&self, spec: &JobSpec) -> ClassBias {
+        self.shown.get(&spec.class).copied().unwrap_or_default()
+    }
+
     /// What a task of the job is taken to cost: what the job itself has shown, else the owner's
     /// estimate corrected by what its class has shown.
     fn expected_cost(&self, job: &Job, eq: f64) -> Option<f64> {
         job.cost.cost().or_else(|| {
-            let bias = self.shown.get(&job.spec.class).copied().unwrap_or_default();
-            (job.spec.estimate_s > 0.0).then(|| eq * job.spec.estimate_s * bias.factor())
+            let bias = self.bias(&job.spec);
+            (job.spec.estimate_s > 0.0).then(|| eq * job.spec.estimate_s * bias.mean)
         })
     }
 
@@ -997,30 +1008,21 @@
         };
         let due = placement::due(settings, job);
         let left_s = (due.0 as f64 - now.0 as f64) / 1000.0 - self.overhead_s(settings, &job.spec);
-        // Tasks are whole: time in which no whole task fits any more is of no use.
+        // Tasks are whole: time in which no whole task fits any more is of no use. Nor is the end of
+        // it, in which the longest run on: what starts then is late as often as not.
         let task_s = b / eq;
-        let waves = (left_s / task_s).floor().max(1.0);
+        let longest_s = self.bias(&job.spec).longest * job.spec.estimate_s;
+        let tail_s = TAIL_WEIGHT * (longest_s - task_s).max(0.0);
+        let waves = ((left_s - tail_s) / task_s).floor().max(1.0);
         Demand { work: left * b, left_s: waves * task_s, most }.rate(tick_s)
     }
 
-    /// What passes around a task's run: reports before and after it, and the image's fetch.
+    /// What passes around a task's run: a boot, reports before and after it, and the image's fetch.
     fn overhead_s(&self, settings: &Settings, spec: &JobSpec) -> f64 {
-        let fetch = self
-            .fleet
-            .catalog
-            .iter()
-            .flat_map(|c| c.flavors.iter())
-            .map(|f| f.fetch_gb_per_s)
-            .fold(0.0, f64::max);
+        let flavors = || self.fleet.catalog.iter().flat_map(|c| c.flavors.iter());
+        let fetch = flavors().map(|f| f.fetch_gb_per_s).fold(0.0, f64::max);
         let fetch_s = if fetch > 0.0 { spec.image_gb / fetch } else { 0.0 };
-        let boot = self
-            .fleet
-            .catalog
-            .iter()
-            .flat_map(|c| c.flavors.iter())
-            .map(|f| f.boot_s)
-            .fold(f64::INFINITY, f64::min);
-        let boot_s = if boot.is_finite() { boot } else { 0.0 };
+        let boot_s = flavors().map(|f| f.boot_s).reduce(f64::min).unwrap_or(0.0);
         2.0 * settings.facts.workers.report_s + fetch_s + boot_s
     }
 
