A controller refused alone hears who leads; room is cleared within the spread rule; gangs end whole

The leader's notes now name it, with its token; who hears a higher one steps down. Submissions that the service does not take from a controller are handed to the leader over the mesh.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -99,7 +99,7 @@
     Watch { token: Token, after: Revision },
     Write { token: Token, written: Vec<Written> },
     Resolve { token: Token, item: Item },
-    Accept { conn: ConnId, record: Box<LiveRecord> },
+    Accept { conn: ConnId, record: Box<LiveRecord>, forwarded: bool },
     Lookup { conn: ConnId, id: JobId, why: Why, over: bool },
 }
 
@@ -266,7 +266,7 @@
             return;
         }
         self.next_notes = now.plus(NOTES_EVERY_MS);
-        let notes = reign.notes(now);
+        let notes = Notes { leader: Some(self.settings.member.clone()), ..reign.notes(now) };
         for peer in &self.settings.peers {
             self.next_id += 1;
             let question = Question::Notes(Box::new(notes.clone()));
@@ -629,6 +629,10 @@
                 }
             }
             Request::Notes(notes) => {
+                if let Some(leader) = &notes.leader {
+                    self.leadership.heard(leader, notes.token);
+                    self.follow_turns(now);
+                }
                 let told = self.notes.take().map(|(_, told)| told);
                 self.notes = Some((now.mono, Notes::joined(told, *notes)));
                 self.reply(conn, HttpReply::json(200, &serde_json::json!({})));
@@ -639,7 +643,7 @@
             }
             Request::Submit(submission) => {
                 self.traffic.users += 1;
-                self.on_submit(now, conn, submission);
+                self.on_submit(now, conn, submission, forwarded);
             }
             Request::View(id) => {
                 self.traffic.users += 1;
@@ -781,7 +785,7 @@
         reign.book.view(id)
     }
 
-    fn on_submit(&mut self, now: Now, conn: ConnId, submission: Submission) {
+    fn on_submit(&mut self, now: Now, conn: ConnId, submission: Submission, forwarded: bool) {
         let (id, verdict) = match &submission {
             Submission::Spec(spec) => (Some(spec.id.clone()), self.verdict(spec)),
             Submission::Bad { id, text } => (id.clone(), Some(HttpReply::error(400, text))),
@@ -791,7 +795,7 @@
             return;
         }
         match (verdict, submission, id) {
-            (None, Submission::Spec(spec), _) => self.accept(now, conn, *spec),
+            (None, Submission::Spec(spec), _) => self.accept(now, conn, *spec, forwarded),
             // A job accepted earlier is known, whatever its text is worth now.
             (Some(reply), _, Some(id)) if reply.status != 503 => {
                 self.lookup(now.mono, conn, id, Why::Submit(reply));
@@ -829,7 +833,10 @@
     }
 
     /// Accepts by creating the job's key, which any controller may do.
-    fn accept(&mut self, now: Now, conn: ConnId, spec: JobSpec) {
+    fn accept(&mut self, now: Now, conn: ConnId, spec: JobSpec, forwarded: bool) {
+        if self.store.paused(now.mono) && self.hand_on(now.mono, conn, &spec, forwarded) {
+            return;
+        }
         let record = LiveRecord { spec, wall_ms: now.wall_ms };
         let id = &record.spec.id;
         let fresh = |key: String| Condition { key, version: Revision(0) };
@@ -845,13 +852,30 @@
             conditions: vec![fresh(jobs::live_key(id)), fresh(jobs::over_key(id))],
             changes: vec![Change::put(jobs::live_key(id), value)],
         };
-        let purpose = Purpose::Accept { conn, record: Box::new(record) };
+        let purpose = Purpose::Accept { conn, record: Box::new(record), forwarded };
         if self.submit(now.mono, Lane::Open, StoreOp::Txn(txn), purpose).is_err() {
             self.reply(conn, HttpReply::later("the state service is busy"));
         }
     }
 
-    fn on_accepted(&mut self, now: Now, conn: ConnId, record: LiveRecord, reply: StoreReply) {
+    /// Has the leader accept what the state service does not take from this controller, which it may
+    /// refuse alone; whether so.
+    fn hand_on(&mut self, now: Mono, conn: ConnId, spec: &JobSpec, forwarded: bool) -> bool {
+        let Some(leader) = self.leadership.other_leader().filter(|_| !forwarded).cloned() else {
+            return false;
+        };
+        self.ask(now, conn, leader, Question::Submit(Box::new(spec.clone())));
+        true
+    }
+
+    fn on_accepted(
+        &mut self,
+        now: Now,
+        conn: ConnId,
+        record: LiveRecord,
+        forwarded: bool,
+        reply: StoreReply,
+    ) {
         let id = record.spec.id.clone();
         let view = |status| JobView { id: id.clone(), status, done: 0, running: 0 };
         match reply {
@@ -868,6 +892,7 @@
                 log::error!("store: a submission was refused: {text}");
                 self.reply(conn, HttpReply::later("the state service refused it"));
             }
+            _ if self.hand_on(now.mono, conn, &record.spec, forwarded) => {}
             _ => self.reply(conn, HttpReply::later("the state service cannot be reached")),
         }
     }
@@ -901,6 +926,9 @@
             Question::View(id) => self.lookup(now, conn, id, Why::View),
             Question::Abort(id) => self.lookup(now, conn, id, Why::Abort),
             Question::Notes(_) => {}
+            Question::Submit(_) => {
+                self.reply(conn, HttpReply::later("the state service cannot be reached"));
+            }
             // The worker tries the next node in a second.
             Question::Report(_) => self.reply(conn, HttpReply::error(503, "no leader answers")),
         }
@@ -928,7 +956,7 @@
             return;
         };
         match question {
-            Question::Report(_) | Question::Notes(_) => {}
+            Question::Report(_) | Question::Notes(_) | Question::Submit(_) => {}
             Question::View(id) => match (reign.book.view(&id), reign.book.get(&id)) {
                 (Some(view), _) => self.reply(conn, HttpReply::json(200, &view)),
                 (None, Some(job)) if job.state != JobState::Over => {
@@ -1042,7 +1070,9 @@
             Purpose::Watch { token, after } => self.on_watch(now, token, after, reply),
             Purpose::Write { token, written } => self.on_written(now.mono, token, written, reply),
             Purpose::Resolve { token, item } => self.on_resolved(now.mono, token, item, reply),
-            Purpose::Accept { conn, record } => self.on_accepted(now, conn, *record, reply),
+            Purpose::Accept { conn, record, forwarded } => {
+                self.on_accepted(now, conn, *record, forwarded, reply);
+            }
             Purpose::Lookup { conn, id, why, over } => {
                 self.on_lookup(now, conn, id, why, over, reply);
             }
--- a/src/edge/mesh_io.rs
+++ b/src/edge/mesh_io.rs
@@ -1,7 +1,7 @@
 //! Connections between controllers.
 
 use super::{EdgeError, Input, spawn};
-use crate::api::{HttpReply, Request};
+use crate::api::{HttpReply, Request, Submission};
 use crate::constants::*;
 use crate::controller::Event;
 use crate::mesh::{self, Asked, Told};
@@ -70,6 +70,7 @@
         let request = match question {
             mesh::Question::View(job) => Request::View(job),
             mesh::Question::Abort(job) => Request::Abort(job),
+            mesh::Question::Submit(spec) => Request::Submit(Submission::Spec(spec)),
             mesh::Question::Report(report) => Request::Report(report),
             mesh::Question::Notes(notes) => Request::Notes(notes),
         };
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -54,6 +54,8 @@
     me: Member,
     role: Role,
     leader: Option<(Member, Token)>,
+    /// The highest token known of; what is heard of older ones is no news.
+    seen: Token,
     /// Set once the key was seen to be free.
     vacant: bool,
     next_read: Mono,
@@ -75,6 +77,7 @@
             me,
             role: Role::Follower,
             leader: None,
+            seen: Token(0),
             vacant: false,
             next_read: Mono(0),
             next_claim: Mono(0),
@@ -122,6 +125,7 @@
             Role::Leader { token, .. } if !was_leader => {
                 log::info!("leadership: leading with token {token} ({why})");
                 self.leader = Some((self.me.clone(), *token));
+                self.seen = self.seen.max(*token);
                 self.turn = Some(Turn::Elected(*token));
             }
             Role::Leader { .. } => {}
@@ -175,6 +179,25 @@
         }
     }
 
+    /// A peer says that it leads. Guards against a controller that the state service alone refuses:
+    /// it took itself for the leader for as long as that lasted, and sent users and workers away
+    /// who could have been served through the new one.
+    pub fn heard(&mut self, leader: &Member, token: Token) {
+        if token <= self.seen || *leader == self.me {
+            return;
+        }
+        self.seen = token;
+        if self.token().is_some() {
+            self.enter(Role::Follower, "a peer leads with a higher token");
+            self.next_read = Mono(0);
+        }
+        if self.role == Role::Follower {
+            log::info!("leadership: {leader} leads with token {token}, as it says");
+            self.vacant = false;
+            self.leader = Some((leader.clone(), token));
+        }
+    }
+
     /// A fenced write failed on the leader key.
     pub fn fenced_off(&mut self) {
         if matches!(self.role, Role::Leader { .. }) {
@@ -234,6 +257,7 @@
     fn on_row(&mut self, row: &Row) -> Vec<Ask> {
         self.vacant = false;
         let token = Token(row.version.0);
+        self.seen = self.seen.max(token);
         let Ok(seat) = serde_json::from_value::<Seat>(row.value.clone()) else {
             log::error!("leadership: the leader key cannot be read");
             return Vec::new();
@@ -390,6 +414,22 @@
         slice
     }
 
+    /// A controller that the state service alone refuses learns from its peer who leads now; what is
+    /// said late of an earlier leader is no news.
+    #[test]
+    fn a_peer_with_a_higher_token_ends_a_reign() {
+        let mut slice = elected();
+        slice.take_turn();
+        let peer = Member::new("b");
+        slice.heard(&peer, Token(9));
+        assert_eq!(slice.token(), Some(Token(9)));
+        slice.heard(&peer, Token(12));
+        assert_eq!((slice.token(), slice.take_turn()), (None, Some(Turn::Deposed)));
+        assert_eq!(slice.other_leader(), Some(&peer));
+        slice.heard(&Member::new("c"), Token(11));
+        assert_eq!(slice.other_leader(), Some(&peer));
+    }
+
     /// Validity counts from the sending of the grant, not from its answer.
     #[test]
     fn validity_counts_from_the_sending() {
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -3,7 +3,7 @@
 
 use crate::api::HttpReply;
 use crate::constants::NOTES_MACHINES_KEPT;
-use crate::types::{HostId, JobId, Token};
+use crate::types::{HostId, JobId, Member, Token};
 use crate::wire::{JobSpec, Report};
 use serde::{Deserialize, Serialize};
 use std::collections::HashSet;
@@ -13,6 +13,8 @@
 pub enum Question {
     View(JobId),
     Abort(JobId),
+    /// A submission that the state service does not take from the controller which it reached.
+    Submit(Box<JobSpec>),
     /// A worker's report that could not reach the leader directly.
     Report(Box<Report>),
     /// Not a question: what the leader has learnt and the next one would miss.
@@ -23,6 +25,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Notes {
     pub token: Token,
+    /// Who leads with that token.
+    #[serde(default)]
+    pub leader: Option<Member>,
     /// Images that machines have, with their sizes.
     pub images: Vec<(HostId, Vec<(String, f64)>)>,
     /// By how much each class's run times are misjudged.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -645,8 +645,10 @@
             self.plan.placed_kept |= self.yard.kept_for(&job.spec.id);
             return;
         }
-        // Machines that are being cleared are kept for it; others would come later than those.
-        if self.make_room(&need, book, false, &sites) {
+        // Machines that are being cleared are kept for it; others would come later than those. Not
+        // for long: guards against waiting for ever for room that does not come.
+        let clearing = self.make_room(&need, book, false, &sites);
+        if clearing && self.now.since(job.submitted) < RESERVE_MS {
             return;
         }
         // Not now: count it against live room first, then machines on their way or to be hired,
@@ -771,8 +773,17 @@
         offers.sort_by(|a, b| a.cost.total_cmp(&b.cost));
         let mut best: Option<(f64, Vec<&Offer>)> = None;
         for site in sites {
-            let here = |o: &&Offer| site.as_ref().is_none_or(|zone| o.machine.zone == *zone);
-            let found: Vec<&Offer> = offers.iter().filter(here).take(count).collect();
+            // Guards against clearing machines that the spread rule then forbids to use together.
+            let mut zones = job.zones.clone();
+            let mut fits = |o: &&Offer| {
+                let zone = &o.machine.zone;
+                let open = site.as_ref().is_none_or(|z| z == zone) && need.zone_open(zone, &zones);
+                if open {
+                    *zones.entry(zone.clone()).or_default() += 1;
+                }
+                open
+            };
+            let found: Vec<&Offer> = offers.iter().filter(|o| fits(o)).take(count).collect();
             let cost = found.iter().map(|o| o.cost).sum();
             if found.len() == count && best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, found));
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -157,6 +157,7 @@
         }
         Notes {
             token: self.token,
+            leader: None,
             images,
             shown: self.shown.iter().map(|(class, bias)| (class.clone(), bias.mean)).collect(),
             arrivals: arrivals.into_values().collect(),
@@ -552,7 +553,23 @@
                 && j.tasks.get(task.index as usize) == Some(&Task::Pending)
         });
         if pending {
-            self.free(&task.job, task.index, true, now);
+            self.done(&task.job, task.index, now);
+        }
+    }
+
+    /// A task is done; the tasks of a gang complete together. Guards against a gang some of whose
+    /// tasks are done, which could never start again.
+    fn done(&mut self, id: &JobId, index: u32, now: Mono) {
+        let Some(job) = self.book.get(id) else { return };
+        let rest: Vec<u32> = match job.spec.shape {
+            Shape::Gang => (0..job.spec.tasks)
+                .filter(|i| *i != index && job.tasks[*i as usize] != Task::Done)
+                .collect(),
+            _ => Vec::new(),
+        };
+        self.free(id, index, true, now);
+        for other in rest {
+            self.free(id, other, true, now);
         }
     }
 
@@ -621,17 +638,7 @@
                 }
                 self.blame(id);
                 self.measure(task, now);
-                self.free(id, index, true, now);
-                // Tasks of a gang complete together.
-                let rest: Vec<u32> = match self.book.get(id) {
-                    Some(j) if j.spec.shape == Shape::Gang => {
-                        (0..j.spec.tasks).filter(|i| j.tasks[*i as usize] != Task::Done).collect()
-                    }
-                    _ => Vec::new(),
-                };
-                for other in rest {
-                    self.free(id, other, true, now);
-                }
+                self.done(id, index, now);
             }
             Cause::Stopped => {
                 // A gang that has not started waits for a replacement of what a drain took.
--- a/src/store.rs
+++ b/src/store.rs
@@ -143,6 +143,11 @@
         self.writes.rate = self.rates.1 * share;
     }
 
+    /// Whether the service has just refused this controller, which gives it a rest.
+    pub fn paused(&self, now: Mono) -> bool {
+        now < self.paused_until
+    }
+
     /// When the service last answered properly.
     pub fn last_good(&self) -> Mono {
         self.last_good
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -2,7 +2,7 @@
 //! machine and not in time, and whether its starts hold what they promise at that size.
 
 use oatloom::cloud::Kind;
-use oatloom::jobs::{Book, Hold, LiveRecord, RunSent};
+use oatloom::jobs::{Book, Hold, Job, LiveRecord, RunSent};
 use oatloom::placement::{self, Inputs, Plan};
 use oatloom::settings::Settings;
 use oatloom::types::{Attempt, HostId, JobId, Millis, Mono, Now, Revision, Shift, Zone};
@@ -191,3 +191,80 @@
     let dear = plan.hires.iter().filter(|(kind, _)| !kind.spot).count();
     assert!(dear < plan.hires.len(), "jobs that may use cheap machines get them");
 }
+
+/// A fleet full of array tasks, and a gang of four in a hurry, each task as large as a machine.
+fn crowded(one_zone: bool, spread: bool) -> (Book, Fleet, JobId) {
+    let settings = settings();
+    let mut fleet = fleet(12);
+    let mut book = Book::default();
+    let add = |book: &mut Book, n: usize, shape, tasks, rank, class: &str| {
+        let id = JobId::new(&format!("req-{n:06}"));
+        let text = format!(
+            r#"{{"nameId":"{id}","jobclass":"{class}","owner":"red","shape":"{shape}","rank":"{rank}",
+            "shards":{tasks},"cpus":40.0,"gpus":4.0,"memoryGb":150.0,"bundle":"i-{n}","pullGb":1.0,
+            "samePlace":{},"spread":{},"loaners":true,"expectS":60.0,"snapshotS":30.0,"flushS":3.0}}"#,
+            one_zone && n > 1,
+            spread && n > 1
+        );
+        let spec: JobSpec = serde_json::from_str(&text).expect("a description");
+        let now = Now { mono: NOW, wall_ms: 5_000 };
+        book.insert(LiveRecord { spec, wall_ms: 5_000 }, Revision(1), now);
+        id
+    };
+    add(&mut book, 1, "sweep", 12, "standard", "many");
+    let plan = pass(&settings, &mut book, &fleet, false);
+    assert_eq!(plan.starts.len(), 12);
+    start(&plan, &settings, &mut book, &mut fleet);
+    let gang = add(&mut book, 2, "group", 4, "high", "quick");
+    (book, fleet, gang)
+}
+
+/// Guards against clearing one machine at a time, which took a gang of four four report periods,
+/// and against clearing machines that it may not use together: it never started.
+#[test]
+fn a_gang_clears_room_for_all_its_tasks_where_they_may_be_together() {
+    for (one_zone, spread) in [(true, false), (false, true), (false, false)] {
+        let (mut book, fleet, gang) = crowded(one_zone, spread);
+        let plan = pass(&settings(), &mut book, &fleet, true);
+        assert_eq!((plan.stops.len(), plan.reserve.len()), (4, 4));
+        assert!(plan.hires.is_empty(), "what it clears comes sooner than what it could hire");
+        let mut zones: BTreeMap<&Zone, u32> = BTreeMap::new();
+        for (host, job) in &plan.reserve {
+            assert_eq!(*job, gang);
+            *zones.entry(&fleet.machines[host].zone).or_default() += 1;
+        }
+        assert!(!one_zone || zones.len() == 1, "{zones:?}");
+        assert!(!spread || zones.values().all(|count| *count <= 2), "{zones:?}");
+    }
+}
+
+/// Room kept ready for gangs of one zone lies in one zone for each, on cheap machines, and none is
+/// hired for while work of lower rank would give way. As one job's, it moved with every change.
+#[test]
+fn room_is_kept_ready_for_whole_gangs() {
+    let (mut book, fleet, gang) = crowded(true, false);
+    let spec = book.get(&gang).expect("the gang").spec.clone();
+    book.jobs.remove(&gang);
+    let ready = |book: &mut Book, fleet: &Fleet| {
+        placement::plan(Inputs {
+            now: NOW.plus(Millis(1_000)),
+            settings: &settings(),
+            book,
+            fleet,
+            paced: &HashMap::new(),
+            awaited: Vec::new(),
+            expected: &[(Job::expected(&spec, 4, NOW), 2)],
+            refused: &|_| false,
+        })
+    };
+    assert!(ready(&mut book, &fleet).hires.is_empty());
+    let empty = Fleet { catalog: fleet.catalog.clone(), ..Fleet::default() };
+    let plan = ready(&mut Book::default(), &empty);
+    let mut zones: BTreeMap<&Zone, u32> = BTreeMap::new();
+    for (kind, _) in &plan.hires {
+        assert!(kind.spot);
+        *zones.entry(&kind.zone).or_default() += 1;
+    }
+    assert_eq!(plan.hires.len(), 8);
+    assert!(zones.values().all(|count| count % 4 == 0), "{zones:?}");
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -390,6 +390,7 @@
                     let request = match question {
                         Question::View(job) => Request::View(job),
                         Question::Abort(job) => Request::Abort(job),
+                        Question::Submit(spec) => Request::Submit(Submission::Spec(spec)),
                         Question::Report(report) => Request::Report(report),
                         Question::Notes(notes) => Request::Notes(notes),
                     };
