Sockets for visitors and own calls are shared within the limit; limits too small are named

Guards against a controller with fewer than 200 sockets, which let 100 visitors in and had none left for its own calls; with more than 300 nothing changes.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -265,8 +265,15 @@
 pub const INPUT_QUEUE: usize = 2_000;
 /// Longest sleep of the core thread; the grain of its timers.
 pub const CORE_WAKE_MS: Millis = Millis(50);
-/// Sockets kept for this controller's own calls and its peers.
+/// Sockets kept for this controller's own calls and its peers: a third, though no more than these.
 pub const OWN_SOCKETS: usize = 100;
+/// The fewest it can do with: a connection for each thread that calls a service or a worker, and
+/// those of two peers in both directions.
+pub const OWN_SOCKETS_LEAST: usize = 32;
+/// Fewer sockets than this leave too few for users and workers to be served at all.
+pub const SOCKETS_LEAST: usize = 48;
+/// Less memory than this, in MB, is used up before anyone is served: a controller holds 5 to 6.
+pub const MEMORY_LEAST_MB: f64 = 10.0;
 /// Headers in one request, at most.
 pub const MOST_HEADERS: usize = 64;
 /// Longest head of a request.
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -73,8 +73,8 @@
 /// Runs a controller until the process is killed.
 pub fn run(settings: Settings, ops: Operators) -> Result<(), EdgeError> {
     let (inputs, events) = bounded(INPUT_QUEUE);
-    let sockets = settings.facts.limits.sockets.saturating_sub(OWN_SOCKETS).max(OWN_SOCKETS);
-    let answers = server::start(&settings.listen, sockets, inputs.clone())?;
+    let most = settings.facts.limits.connections();
+    let answers = server::start(&settings.listen, most, inputs.clone())?;
     mesh_io::serve(&settings.mesh_listen, inputs.clone())?;
     let mut mesh = HashMap::new();
     for peer in &settings.peers {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -121,6 +121,18 @@
     pub sockets: usize,
 }
 
+impl Limits {
+    /// Sockets kept for this controller's own calls and its peers.
+    pub fn own_sockets(&self) -> usize {
+        (self.sockets / 3).clamp(constants::OWN_SOCKETS_LEAST, constants::OWN_SOCKETS)
+    }
+
+    /// Connections that workers and users may have together.
+    pub fn connections(&self) -> usize {
+        self.sockets.saturating_sub(self.own_sockets())
+    }
+}
+
 fn one() -> f64 {
     1.0
 }
@@ -203,8 +215,18 @@
         if facts.state.txn_ops < 4 {
             return Err(bad("facts.state.txn_ops", "must be at least 4"));
         }
-        if facts.limits.sockets < 16 {
-            return Err(bad("facts.limits.sockets", "must be at least 16"));
+        let limits = &facts.limits;
+        if limits.sockets < constants::SOCKETS_LEAST {
+            let text = format!(
+                "must be at least {}: this controller needs {} for its own calls",
+                constants::SOCKETS_LEAST,
+                limits.own_sockets()
+            );
+            return Err(bad("facts.limits.sockets", &text));
+        }
+        if limits.memory_mb < constants::MEMORY_LEAST_MB {
+            let text = format!("must be at least {}", constants::MEMORY_LEAST_MB);
+            return Err(bad("facts.limits.memory_mb", &text));
         }
         for team in &facts.teams {
             for value in [team.cpus, team.cpus_max, team.gpus, team.gpus_max] {
@@ -300,6 +322,8 @@
             ("\"n-1\"", "\"n-0\"", "peers.member"),
             ("member = \"n-0\"\n", "", "member"),
             ("txn_ops = 16", "txn_ops = 1", "facts.state.txn_ops"),
+            ("sockets = 1000", "sockets = 40", "facts.limits.sockets"),
+            ("memory_mb = 100.0", "memory_mb = 4.0", "facts.limits.memory_mb"),
         ];
         for (good, bad, field) in cases {
             let text = Settings::parse(&SAMPLE.replacen(good, bad, 1)).unwrap_err().to_string();
@@ -307,6 +331,18 @@
         }
     }
 
+    /// Small limits leave room for both: with 600 sockets or 60, calls and visitors fit together.
+    #[test]
+    fn sockets_are_shared_within_their_limit() {
+        for sockets in [constants::SOCKETS_LEAST, 60, 200, 600, 2_500] {
+            let limits = Limits { cpu_share: 0.1, memory_mb: 40.0, sockets };
+            assert!(
+                limits.own_sockets() >= constants::OWN_SOCKETS_LEAST && limits.connections() > 0
+            );
+            assert_eq!(limits.own_sockets() + limits.connections(), sockets);
+        }
+    }
+
     /// The shipped sample says what the defaults are, and bad values are refused.
     #[test]
     fn operators_sample_is_the_default() {
