--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -57,8 +57,8 @@
 gang_peer_s = 4.0
 cancel_s = 46.0
 [facts.state]
-rps = 200.0
-write_rps = 60.0
+rps = 120.0
+write_rps = 25.0
 value_kb = 8.0
 txn_ops = 16
 [facts.cloud]
@@ -656,8 +656,17 @@
                 }
             }
             Fault::SpotTaken => {
-                for worker in self.workers.values_mut().filter(|w| w.place.spot).take(2) {
-                    worker.notice_until = Some(now + 6_000);
+                let spot = |(host, w): (&String, &Worker)| w.place.spot.then(|| host.clone());
+                let taken: Vec<String> = self.workers.iter().filter_map(spot).take(3).collect();
+                for (n, host) in taken.into_iter().enumerate() {
+                    // Some are taken without a word.
+                    if n == 2 {
+                        if let Some(mut worker) = self.workers.remove(&host) {
+                            worker.kill(&mut self.checker);
+                        }
+                    } else if let Some(worker) = self.workers.get_mut(&host) {
+                        worker.notice_until = Some(now + 6_000);
+                    }
                 }
             }
             Fault::FaultyMachine => {
