--- a/tests/world/checker.rs
+++ b/tests/world/checker.rs
@@ -30,6 +30,8 @@
 
 pub struct Checker {
     pub broken: Vec<String>,
+    /// Tasks that had the time to save when they were stopped.
+    pub saved: u64,
     pub starts: usize,
     limits: HashMap<String, f64>,
     cancel_ms: u64,
@@ -44,6 +46,7 @@
     pub fn new(limits: HashMap<String, f64>, cancel_ms: u64) -> Self {
         Self {
             broken: Vec::new(),
+            saved: 0,
             starts: 0,
             limits,
             cancel_ms,
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -133,6 +133,10 @@
                 TaskPhase::Waiting if now > task.waiting_since + 40_000 => {
                     self.exit(&key, Cause::Incomplete, checker);
                 }
+                TaskPhase::Saving if now >= task.until => {
+                    checker.saved += 1;
+                    self.exit(&key, Cause::Stopped, checker);
+                }
                 TaskPhase::Running if self.faulty => self.exit(&key, Cause::Error, checker),
                 TaskPhase::Running if spec.shape == Shape::Gang && lost(&key.0, key.2) => {
                     self.exit(&key, Cause::Peers, checker);
@@ -253,9 +257,20 @@
             let key = (job.to_owned(), index.parse().expect("an index"), attempt.0);
             match order {
                 Order::Run { .. } => self.run(now, key, specs, rng),
-                Order::Stop { .. } => {
-                    if self.tasks.get(&key).is_some_and(|t| t.phase != TaskPhase::Exited) {
-                        self.exit(&key, Cause::Stopped, checker);
+                Order::Stop { grace_s, .. } => {
+                    let spec = &specs[&key.0];
+                    let saves = spec.checkpoint_s > 0.0 && *grace_s >= spec.save_s;
+                    match self.tasks.get_mut(&key) {
+                        Some(task) if task.phase == TaskPhase::Running && saves => {
+                            task.phase = TaskPhase::Saving;
+                            task.until = now + (spec.save_s * 1000.0) as u64;
+                            self.changed = true;
+                        }
+                        Some(task) if task.phase == TaskPhase::Saving && saves => {}
+                        Some(task) if task.phase != TaskPhase::Exited => {
+                            self.exit(&key, Cause::Stopped, checker);
+                        }
+                        _ => {}
                     }
                 }
                 Order::Forget { .. } => {
