Read again: one search for the best site, one stop of all tasks, prices and fetches said once

No change in behaviour is meant. best_site serves gangs that start, that wait and that move (three loops before), and gang_later and cheap_places leave all as it was where they find nothing; keep, stop_all, held_here, Book::held, Flavor::price_as, Yard::priced, Fleet::fetch_s and least_boot_s replace copies of the same lines. Whether a class is in a hurry is asked in one turn over the aims and no longer in one for each of them at every report. Reports that wait or are passed on are counted where that happens, not guessed from the leadership's last state.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -23,6 +23,9 @@
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, HashMap};
 
+/// What a report is told that is older than another, or whose machine is gone.
+const OUTDATED: &str = "an older report, or a machine that was returned";
+
 /// Who waits for an answer: a connection of the HTTP server, or a peer's question.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ConnId(pub u64);
@@ -617,14 +620,13 @@
             }
             Request::Report(report) => {
                 let reply = self.on_report(now.mono, conn, &report, forwarded);
-                *match reply.as_ref().map(|reply| reply.status) {
-                    None if self.was_valid => &mut self.traffic.parked,
-                    None => &mut self.traffic.passed_on,
-                    Some(200) => &mut self.traffic.answered,
-                    Some(421) => &mut self.traffic.sent_on,
-                    Some(_) => &mut self.traffic.refused,
-                } += 1;
+                // One without an answer yet was counted where it waits.
                 if let Some(reply) = reply {
+                    *match reply.status {
+                        200 => &mut self.traffic.answered,
+                        421 => &mut self.traffic.sent_on,
+                        _ => &mut self.traffic.refused,
+                    } += 1;
                     self.reply(conn, reply);
                 }
             }
@@ -681,27 +683,28 @@
             if report.token > token {
                 self.leadership.outranked(report.token);
             } else if let Some(answer) = reign.on_report(report, now) {
+                let waits = answer.orders.is_empty()
+                    && report.token == token
+                    && !forwarded
+                    && reign.may_wait(&self.settings, &report.host, now);
+                if !waits {
+                    reign.answered(&report.host, now);
+                }
                 // A worker has one report under way: it has given up on an older one.
                 if let Some(old) = self.parked.take(&report.host) {
                     self.reply(old.conn, HttpReply::error(409, "a newer report has come"));
                 }
-                let calm = answer.orders.is_empty() && !forwarded;
-                let reign = self.reign.as_ref().filter(|r| {
-                    calm && report.token == token && r.may_wait(&self.settings, &report.host, now)
-                });
-                if reign.is_some() {
+                if waits {
+                    self.traffic.parked += 1;
                     let (shift, tally) = (report.shift, report.tally);
                     self.parked.park(report.host.clone(), conn, shift, tally, now);
                     self.open.insert(conn, now.plus(REPORT_DROP_MS));
                     return None;
                 }
-                if let Some(reign) = self.reign.as_mut() {
-                    reign.answered(&report.host, now);
-                }
                 return Some(HttpReply::json(200, &answer));
             }
             // Not 503, which would tell a controller that passed it on that this one cannot lead.
-            return Some(HttpReply::error(409, "an older report, or a machine that was returned"));
+            return Some(HttpReply::error(409, OUTDATED));
         }
         let leader = self.leadership.other_leader().filter(|_| !forwarded).cloned();
         let Some(leader) = leader else {
@@ -710,6 +713,7 @@
         let obeyed = self.leadership.leader_token() == Some(report.token);
         match self.relays.way(&report.host, obeyed, now) {
             Way::PassOn => {
+                self.traffic.passed_on += 1;
                 self.ask(now, conn, leader, Question::Report(Box::new(report.clone())));
                 None
             }
@@ -734,12 +738,12 @@
         };
         let due = self.parked.due(now, |host| reign.has_orders(host));
         for host in due {
-            let Some(parked) = self.parked.take(&host) else { continue };
-            let reign = self.reign.as_mut();
-            let answer = reign.and_then(|r| r.answer_late(&host, parked.shift, parked.tally, now));
-            let reply = match answer {
+            let (Some(reign), Some(parked)) = (self.reign.as_mut(), self.parked.take(&host)) else {
+                continue;
+            };
+            let reply = match reign.answer_late(&host, parked.shift, parked.tally, now) {
                 Some(answer) => HttpReply::json(200, &answer),
-                None => HttpReply::error(409, "an older report, or a machine that was returned"),
+                None => HttpReply::error(409, OUTDATED),
             };
             self.reply(parked.conn, reply);
         }
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -661,6 +661,11 @@
         }
     }
 
+    /// Where a task is held, if it is.
+    pub fn held(&self, task: &TaskId) -> Option<&Hold> {
+        self.jobs.get(&task.job)?.hold(task.index)
+    }
+
     /// The state that may be told of a job that is open here.
     pub fn view(&self, id: &JobId) -> Option<JobView> {
         self.jobs.get(id).and_then(Job::view)
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -117,8 +117,20 @@
 /// Seconds within which users want the class started, if that is so few report periods that waiting
 /// for a machine's next report would make it late.
 pub fn eager(settings: &Settings, class: &str) -> Option<f64> {
-    let soon = settings.facts.workers.report_s * EAGER_REPORTS;
-    objective(settings, class, "wait").filter(|within| *within <= soon)
+    objective(settings, class, "wait").filter(|within| *within <= soon_s(settings))
+}
+
+/// Whether there is such a class.
+pub fn any_eager(settings: &Settings) -> bool {
+    let soon = |within: f64| within <= soon_s(settings);
+    let objectives = settings.facts.objectives.iter();
+    objectives
+        .filter(|o| o.kind == "wait" && o.class.is_some())
+        .any(|o| o.within_s.is_some_and(soon))
+}
+
+fn soon_s(settings: &Settings) -> f64 {
+    settings.facts.workers.report_s * EAGER_REPORTS
 }
 
 /// When the job ought to be complete.
@@ -167,8 +179,7 @@
     now: Mono,
     since: Mono,
 ) -> Vec<(Job, u32)> {
-    let Some(catalog) = &fleet.catalog else { return Vec::new() };
-    let boot_s = catalog.flavors.iter().map(|f| f.boot_s).fold(f64::INFINITY, f64::min);
+    let Some(boot_s) = fleet.least_boot_s() else { return Vec::new() };
     let window_s = now.since(since).secs().min(ARRIVAL_WINDOW_S);
     if !boot_s.is_finite() || window_s < boot_s {
         return Vec::new();
@@ -455,10 +466,7 @@
             if (self.refused)(&kind) {
                 continue;
             }
-            let price = if *spot { flavor.spot_price } else { flavor.price };
-            let there = f64::from(self.yard.in_zone(zone));
-            // Equal prices: the zone with fewer machines, so that losses of a zone weigh less.
-            let cost = price * need.room.share_of(&whole) * (1.0 + there / ZONE_EVENNESS);
+            let cost = self.yard.priced(flavor, zone, *spot) * need.room.share_of(&whole);
             if best.is_none_or(|(c, _)| cost < c) {
                 best = Some((cost, at));
             }
@@ -486,9 +494,9 @@
                 self.cheapest_site(&need, tasks, &sites, *spot).map(|s| (s, *spot))
             });
             let Some((site, spot)) = room else { break };
-            let from = self.yard.taken_from();
+            let mark = self.yard.mark();
             self.gang_later(&need, tasks, site.as_ref(), spot);
-            self.plan.ready.extend(self.yard.live_since(from).map(|m| m.id.clone()));
+            self.plan.ready.extend(self.yard.live_since(mark).map(|m| m.id.clone()));
         }
     }
 
@@ -525,28 +533,15 @@
         let need = Need::new(self.settings, job);
         let tasks = job.spec.tasks as usize;
         let sites = self.sites(job);
-        let mut best: Option<(f64, Vec<usize>)> = None;
-        for site in &sites {
-            let mark = self.mark(job);
-            let mut places = Places::new(self, &need, BTreeMap::new(), site.as_ref());
-            places.restrict(self, Some(true));
-            let found: Vec<usize> = (0..tasks).map_while(|_| places.live(self, &need)).collect();
-            let slots = &self.yard.slots;
-            let machines = || found.iter().filter_map(|at| slots[*at].machine);
-            let fetch_s = machines().map(|m| self.yard.fetch_s(m, &job.spec)).fold(0.0, f64::max);
-            let here = found.len() == tasks && fetch_s <= MOVE_FETCH_S;
-            if here && best.as_ref().is_none_or(|(least, _)| fetch_s < *least) {
-                best = Some((fetch_s, found));
-            }
-            self.roll_back(job, mark);
-        }
-        match best {
-            Some((_, found)) => {
+        let fetch_s = |pass: &mut Self, site: Option<&Zone>| {
+            pass.cheap_places(&need, tasks, site).map(|(_, fetch_s)| fetch_s)
+        };
+        let site = self.best_site(&need, &sites, fetch_s);
+        match site.and_then(|site| self.cheap_places(&need, tasks, site.as_ref())) {
+            Some((found, _)) => {
                 for at in found {
-                    let Some(m) = self.yard.slots[at].machine else { continue };
-                    let keep = (m.id.clone(), job.spec.id.clone());
-                    if !self.plan.reserve.contains(&keep) {
-                        self.plan.reserve.push(keep);
+                    if let Some(m) = self.yard.slots[at].machine {
+                        self.keep(m, job);
                     }
                 }
                 self.plan.moves.push(job.spec.id.clone());
@@ -562,6 +557,35 @@
         }
     }
 
+    /// Live slots on cheap machines for all tasks of a gang, wherever it is now, and how long they
+    /// have to fetch its image, if that is not for long.
+    fn cheap_places(
+        &mut self,
+        need: &Need,
+        count: usize,
+        site: Option<&Zone>,
+    ) -> Option<(Vec<usize>, f64)> {
+        let mark = self.mark(need.job);
+        let mut places = Places::new(self, need, BTreeMap::new(), site);
+        places.restrict(self, Some(true));
+        let found: Vec<usize> = (0..count).map_while(|_| places.live(self, need)).collect();
+        let machines = found.iter().filter_map(|at| self.yard.slots[*at].machine);
+        let fetch_s = machines.map(|m| self.fleet.fetch_s(m, &need.job.spec)).fold(0.0, f64::max);
+        if found.len() == count && fetch_s <= MOVE_FETCH_S {
+            return Some((found, fetch_s));
+        }
+        self.roll_back(need.job, mark);
+        None
+    }
+
+    /// Keeps a machine for a job.
+    fn keep(&mut self, machine: &Machine, job: &Job) {
+        let keep = (machine.id.clone(), job.spec.id.clone());
+        if !self.plan.reserve.contains(&keep) {
+            self.plan.reserve.push(keep);
+        }
+    }
+
     /// Tasks of the job that each zone could take at once if work of lower rank gave way.
     fn yielding(&mut self, need: &Need, book: &Book) -> BTreeMap<Zone, usize> {
         let mut zones = BTreeMap::new();
@@ -604,16 +628,26 @@
         count: usize,
         sites: &[Option<Zone>],
         spot: Option<bool>,
+    ) -> Option<Option<Zone>> {
+        self.best_site(need, sites, |pass, site| pass.gang_later(need, count, site, spot))
+    }
+
+    /// The site whose `cost` is least, of those that have one. What `cost` takes is given up again;
+    /// where it finds nothing it has to leave all as it was.
+    fn best_site(
+        &mut self,
+        need: &Need,
+        sites: &[Option<Zone>],
+        mut cost: impl FnMut(&mut Self, Option<&Zone>) -> Option<f64>,
     ) -> Option<Option<Zone>> {
         let mut best: Option<(f64, &Option<Zone>)> = None;
         for site in sites {
             let mark = self.mark(need.job);
-            if let Some(price) = self.gang_later(need, count, site.as_ref(), spot)
-                && best.is_none_or(|(least, _)| price < least)
-            {
-                best = Some((price, site));
-            }
+            let Some(cost) = cost(self, site.as_ref()) else { continue };
             self.roll_back(need.job, mark);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, site));
+            }
         }
         best.map(|(_, site)| site.clone())
     }
@@ -626,18 +660,11 @@
         }
         let sites = self.sites(job);
         // All zones are tried, since the first with room may be the dearest or have no images there.
-        let mut best: Option<(f64, &Option<Zone>)> = None;
-        for site in &sites {
-            let mark = self.mark(job);
-            let Some((_, score)) = self.gang_places(&need, tasks.len(), site.as_ref()) else {
-                continue;
-            };
-            self.roll_back(job, mark);
-            if best.is_none_or(|(least, _)| score < least) {
-                best = Some((score, site));
-            }
-        }
-        let chosen = best.and_then(|(_, site)| self.gang_places(&need, tasks.len(), site.as_ref()));
+        let score = |pass: &mut Self, site: Option<&Zone>| {
+            pass.gang_places(&need, tasks.len(), site).map(|(_, score)| score)
+        };
+        let site = self.best_site(&need, &sites, score);
+        let chosen = site.and_then(|site| self.gang_places(&need, tasks.len(), site.as_ref()));
         if let Some((places, _)) = chosen {
             for (index, at) in tasks.iter().zip(places) {
                 self.start(job, *index, at);
@@ -694,18 +721,20 @@
         site: Option<&Zone>,
         spot: Option<bool>,
     ) -> Option<f64> {
-        let before = self.plan.hires.len();
+        let mark = self.mark(need.job);
         let mut places = Places::new(self, need, need.job.zones.clone(), site);
         places.restrict(self, spot);
         let placed =
             (0..count).all(|_| places.live(self, need).is_some() || places.later(self, need, true));
         let price = |(kind, _): &(Kind, bool)| {
             let flavor = self.fleet.flavor(&kind.flavor);
-            let price = flavor.map_or(0.0, |f| if kind.spot { f.spot_price } else { f.price });
-            // Equal prices: the zone with fewer machines, so that losses of a zone weigh less.
-            price * (1.0 + f64::from(self.yard.in_zone(&kind.zone)) / ZONE_EVENNESS)
+            flavor.map_or(0.0, |f| self.yard.priced(f, &kind.zone, kind.spot))
         };
-        placed.then(|| self.plan.hires[before..].iter().map(price).sum())
+        if placed {
+            return Some(self.plan.hires[mark.2..].iter().map(price).sum());
+        }
+        self.roll_back(need.job, mark);
+        None
     }
 
     fn mark(&self, job: &Job) -> (slots::Mark, Option<Usage>, usize) {
@@ -795,10 +824,7 @@
                 let grace = book.get(&task.job).map_or(0.0, |j| j.spec.save_s);
                 self.plan.stops.push((task.clone(), StopWhy::Preempted, grace));
             }
-            let keep = (offer.machine.id.clone(), id.clone());
-            if !self.plan.reserve.contains(&keep) {
-                self.plan.reserve.push(keep);
-            }
+            self.keep(offer.machine, job);
         }
         true
     }
@@ -842,7 +868,7 @@
         candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut candidates = candidates.into_iter();
         // A fetch keeps the whole task waiting, as work lost keeps others.
-        let fetch_s = self.yard.fetch_s(m, &need.job.spec);
+        let fetch_s = self.fleet.fetch_s(m, &need.job.spec);
         let mut least = 0.0;
         for _ in 0..most {
             let (mut cost, mut victims) = (fetch_s * need.room.cpus, Vec::new());
--- a/src/placement/slots.rs
+++ b/src/placement/slots.rs
@@ -210,7 +210,7 @@
     }
 
     /// Machines in a zone, wished ones included.
-    pub fn in_zone(&self, zone: &Zone) -> u32 {
+    fn in_zone(&self, zone: &Zone) -> u32 {
         let here = self.kinds.iter().zip(&self.counts).filter(|((_, z, _), _)| z == zone);
         here.map(|(_, count)| count).sum()
     }
@@ -351,15 +351,16 @@
         Mark { taken: self.taken.len(), slots: self.slots.len(), none: self.none.len() }
     }
 
-    /// How many places have been taken so far.
-    pub fn taken_from(&self) -> usize {
-        self.taken.len()
+    /// The live machines on which places were taken since the mark.
+    pub fn live_since(&self, mark: Mark) -> impl Iterator<Item = &'a Machine> + '_ {
+        let slots = self.taken[mark.taken..].iter().map(|taken| &self.slots[taken.at]);
+        slots.filter_map(|slot| slot.machine).filter(|m| m.life != Life::Booting)
     }
 
-    /// The live machines on which places were taken since.
-    pub fn live_since(&self, from: usize) -> impl Iterator<Item = &'a Machine> + '_ {
-        let slots = self.taken[from..].iter().map(|taken| &self.slots[taken.at]);
-        slots.filter_map(|slot| slot.machine).filter(|m| m.life != Life::Booting)
+    /// What a machine more in the zone counts by the hour, of prices that are equal otherwise: the
+    /// zone with fewer machines wins, so that losses of a zone weigh less.
+    pub fn priced(&self, flavor: &Flavor, zone: &Zone, spot: bool) -> f64 {
+        flavor.price_as(spot) * (1.0 + f64::from(self.in_zone(zone)) / ZONE_EVENNESS)
     }
 
     /// Gives up all places taken, and all machines wished for, since the mark.
@@ -380,17 +381,6 @@
         self.slots[at].machine.is_some_and(|m| m.has_image(image))
     }
 
-    /// Seconds that a job's image takes to a machine, as far as nothing else is being fetched.
-    pub fn fetch_s(&self, m: &Machine, spec: &JobSpec) -> f64 {
-        let flavor = self.kinds.iter().find(|(f, ..)| f.label == m.flavor).map(|(f, ..)| f);
-        match flavor {
-            Some(f) if f.fetch_gb_per_s > 0.0 && !m.has_image(&spec.image) => {
-                spec.image_gb / f.fetch_gb_per_s
-            }
-            _ => 0.0,
-        }
-    }
-
     /// What a task of the job makes of a slot.
     pub fn score_of(&self, need: &Need, at: usize) -> f64 {
         self.score(need, &self.slots[at])
--- a/src/reign/capacity.rs
+++ b/src/reign/capacity.rs
@@ -58,10 +58,10 @@
 
     /// What passes around a task's run: a boot, reports before and after it, and the image's fetch.
     pub(super) fn overhead_s(&self, settings: &Settings, spec: &JobSpec) -> f64 {
-        let flavors = || self.fleet.catalog.iter().flat_map(|c| c.flavors.iter());
-        let fetch = flavors().map(|f| f.fetch_gb_per_s).fold(0.0, f64::max);
+        let flavors = self.fleet.catalog.iter().flat_map(|c| c.flavors.iter());
+        let fetch = flavors.map(|f| f.fetch_gb_per_s).fold(0.0, f64::max);
         let fetch_s = if fetch > 0.0 { spec.image_gb / fetch } else { 0.0 };
-        let boot_s = flavors().map(|f| f.boot_s).reduce(f64::min).unwrap_or(0.0);
+        let boot_s = self.fleet.least_boot_s().unwrap_or(0.0);
         2.0 * settings.facts.workers.report_s + fetch_s + boot_s
     }
 
@@ -222,8 +222,7 @@
             .filter(|m| m.reserved.as_ref().is_none_or(|(_, until)| now >= *until))
             .filter_map(|m| {
                 let f = self.fleet.flavor(&m.flavor)?;
-                let price = if m.spot { f.spot_price } else { f.price };
-                Some((price / f.cpus.max(1.0), f.cpus, m.id.clone()))
+                Some((f.price_as(m.spot) / f.cpus.max(1.0), f.cpus, m.id.clone()))
             })
             .collect();
         idle.sort_by(|a, b| b.0.total_cmp(&a.0));
--- a/src/reign/mod.rs
+++ b/src/reign/mod.rs
@@ -13,7 +13,7 @@
 use crate::mesh::Notes;
 use crate::placement::{self, Inputs, Plan};
 use crate::scaling::{self, Bounds, Claim, Demand};
-use crate::settings::{Objective, Operators, Settings};
+use crate::settings::{Operators, Settings};
 use crate::types::*;
 use crate::wire::{
     Cause, Command, JobSpec, JobStatus, Listed, MachineStatus, Order, Report, ReportAnswer, Shape,
@@ -260,10 +260,7 @@
             return;
         }
         job.gang_enter(Gang::Clearing(attempt), why);
-        let held: Vec<u32> = job.holds().map(|(i, _)| i).collect();
-        for index in held {
-            self.stop(&TaskId::new(id, index), StopWhy::GangFailed, 0.0, now);
-        }
+        self.stop_all(id, StopWhy::GangFailed, 0.0, now);
     }
 
     /// Wants a held task to end. One whose start was never sent is gone at once.
@@ -294,6 +291,15 @@
         }
     }
 
+    /// Wants all held tasks of a job to end.
+    fn stop_all(&mut self, id: &JobId, why: StopWhy, grace_s: f64, now: Mono) {
+        let Some(job) = self.book.get(id) else { return };
+        let held: Vec<u32> = job.holds().map(|(i, _)| i).collect();
+        for index in held {
+            self.stop(&TaskId::new(id, index), why, grace_s, now);
+        }
+    }
+
     /// Stops a running gang so that its progress is saved: all its tasks must hear of it within
     /// `gang_peer_s`, with the grace to save. What has not ended yet is not told a second time with
     /// less, as it would be if the gang were taken to have failed.
@@ -302,20 +308,13 @@
         let Gang::Running(attempt) = job.gang else { return };
         job.gang_enter(Gang::Clearing(attempt), "stopped in order");
         let grace_s = job.spec.save_s;
-        let held: Vec<u32> = job.holds().map(|(i, _)| i).collect();
-        for index in held {
-            self.stop(&TaskId::new(id, index), why, grace_s, now);
-        }
+        self.stop_all(id, why, grace_s, now);
     }
 
     /// A job was ended: none of its tasks may start, and those on machines have to go.
     pub fn end_job(&mut self, id: &JobId, status: JobStatus, why: &str, now: Mono) {
         self.book.end(id, status, why);
-        let Some(job) = self.book.get(id) else { return };
-        let held: Vec<u32> = job.holds().map(|(i, _)| i).collect();
-        for index in held {
-            self.stop(&TaskId::new(id, index), StopWhy::JobOver, 0.0, now);
-        }
+        self.stop_all(id, StopWhy::JobOver, 0.0, now);
     }
 
     /// Called at every turn while the token is valid.
--- a/src/reign/reports.rs
+++ b/src/reign/reports.rs
@@ -27,11 +27,7 @@
         }
         for row in report.tasks.iter().filter(|row| row.status == TaskPhase::Exited) {
             let Some(task) = TaskId::parse(&row.task) else { continue };
-            let held_here =
-                self.book.get(&task.job).and_then(|j| j.hold(task.index)).is_some_and(|h| {
-                    h.host == report.host && h.attempt == row.attempt && h.shift == report.shift
-                });
-            if held_here {
+            if self.held_here(&task, row.attempt, report) {
                 self.exited(&task, row.cause, &report.host, now);
             }
         }
@@ -66,10 +62,7 @@
     /// Whether the answer to a machine's report may wait for something to say: it is kept for a
     /// job, or has room for one that must start soon, and nothing on it is likely to end meanwhile.
     pub fn may_wait(&self, settings: &Settings, host: &HostId, now: Mono) -> bool {
-        let eager = |o: &Objective| {
-            o.class.as_deref().is_some_and(|class| placement::eager(settings, class).is_some())
-        };
-        if self.stage != Stage::Ruling || !settings.facts.objectives.iter().any(eager) {
+        if self.stage != Stage::Ruling || !placement::any_eager(settings) {
             return false;
         }
         let Some(m) = self.fleet.machines.get(host) else { return false };
@@ -90,10 +83,7 @@
             let free = self.fleet.free_room(m);
             self.expected.iter().any(|(job, _)| free.fits(&Room::from(&*job.spec)))
         };
-        let awaiting = || {
-            let hold = |t: &TaskId| self.book.get(&t.job).and_then(|j| j.hold(t.index));
-            m.held.keys().any(|task| hold(task).is_some_and(unsent))
-        };
+        let awaiting = || m.held.keys().any(|task| self.book.held(task).is_some_and(unsent));
         kept || awaiting() || m.held.keys().all(calm) && roomy()
     }
 
@@ -136,10 +126,10 @@
         let mut orders = Vec::new();
         for (id, index) in self.held_on(host, |hold| hold.stop.is_some() && hold.run != RunSent::No)
         {
-            let hold = self.book.get(&id).and_then(|j| j.hold(index));
-            if let Some((stop, attempt)) = hold.and_then(|h| Some((h.stop?, h.attempt))) {
-                let task = TaskId::new(&id, index).to_string();
-                self.push(&mut orders, Order::Stop { task, attempt, grace_s: stop.grace_s });
+            let task = TaskId::new(&id, index);
+            let told = self.book.held(&task).and_then(|h| Some((h.stop?.grace_s, h.attempt)));
+            if let Some((grace_s, attempt)) = told {
+                self.push(&mut orders, Order::Stop { task: task.to_string(), attempt, grace_s });
             }
         }
         self.start_held(host, shift, tally, &mut orders);
@@ -154,6 +144,13 @@
         }
     }
 
+    /// Whether the book holds this attempt of a task on the machine that reports it.
+    fn held_here(&self, task: &TaskId, attempt: Attempt, report: &Report) -> bool {
+        self.book.held(task).is_some_and(|h| {
+            h.host == report.host && h.attempt == attempt && h.shift == report.shift
+        })
+    }
+
     pub(super) fn held_on(
         &self,
         host: &HostId,
@@ -166,10 +163,7 @@
             .held
             .keys()
             .filter(|task| {
-                self.book
-                    .get(&task.job)
-                    .and_then(|j| j.hold(task.index))
-                    .is_some_and(|hold| hold.host == *host && which(hold))
+                self.book.held(task).is_some_and(|hold| hold.host == *host && which(hold))
             })
             .map(|task| (task.job.clone(), task.index))
             .collect()
@@ -199,12 +193,8 @@
             let Some(task) = TaskId::parse(&row.task) else {
                 continue;
             };
-            let held_here =
-                self.book.get(&task.job).and_then(|j| j.hold(task.index)).is_some_and(|h| {
-                    h.host == *host && h.attempt == row.attempt && h.shift == report.shift
-                });
             let exited = row.status == TaskPhase::Exited;
-            if held_here {
+            if self.held_here(&task, row.attempt, report) {
                 listed.push(task.clone());
                 if !exited {
                     self.saw(&task, row.status, report, orders, now);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -247,6 +247,13 @@
     pub zones: Vec<Zone>,
 }
 
+impl Flavor {
+    /// Its present price by the hour, as a spot machine or an ordinary one.
+    pub fn price_as(&self, spot: bool) -> f64 {
+        if spot { self.spot_price } else { self.price }
+    }
+}
+
 #[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 pub struct Catalog {
     pub flavors: Vec<Flavor>,
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -208,6 +208,17 @@
         self.catalog.as_ref()?.flavors.iter().find(|f| f.label == label)
     }
 
+    /// Usual boot time of the type that boots fastest.
+    pub fn least_boot_s(&self) -> Option<f64> {
+        self.catalog.iter().flat_map(|c| &c.flavors).map(|f| f.boot_s).reduce(f64::min)
+    }
+
+    /// Seconds that a job's image takes to a machine, as far as nothing else is being fetched.
+    pub fn fetch_s(&self, machine: &Machine, spec: &crate::wire::JobSpec) -> f64 {
+        let rate = self.flavor(&machine.flavor).map_or(0.0, |f| f.fetch_gb_per_s);
+        if rate > 0.0 && !machine.has_image(&spec.image) { spec.image_gb / rate } else { 0.0 }
+    }
+
     pub fn room_of(&self, machine: &Machine) -> Room {
         self.flavor(&machine.flavor).map(Room::from).unwrap_or_default()
     }
