A drain tells every task that nobody has stopped yet, whatever its gang's state

The round on orderly stops passed over all tasks of gangs that are clearing, since most were stopped along with another one; one that a new leader found so, unstopped, was no longer told to go.

--- a/src/reign/machines.rs
+++ b/src/reign/machines.rs
@@ -162,12 +162,11 @@
             }
         }
         for (task, grace) in stops {
-            let gang = self.book.get(&task.job).map(|j| j.gang);
-            match gang {
-                Some(Gang::Running(_)) => self.stop_gang(&task.job, StopWhy::Draining, now),
-                // It may have been stopped along with another task of its gang.
-                Some(Gang::Clearing(_)) => {}
-                _ => self.stop(&task, StopWhy::Draining, grace, now),
+            if matches!(self.book.get(&task.job).map(|j| j.gang), Some(Gang::Running(_))) {
+                self.stop_gang(&task.job, StopWhy::Draining, now);
+            } else if self.book.held(&task).is_some_and(|hold| hold.stop.is_none()) {
+                // Else it was stopped along with another task of its gang.
+                self.stop(&task, StopWhy::Draining, grace, now);
             }
         }
     }
