--- a/crates/core/src/operators.rs
+++ b/crates/core/src/operators.rs
@@ -8,18 +8,23 @@
 use serde::Deserialize;
 
 /// The operators' own settings; every field has a default.
+#[cfg_attr(feature = "schema", derive(schemars::JsonSchema))]
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Operators {
     /// `error`, `warn`, `info`, `debug` or `trace`; the variable `LOG_LEVEL` goes before it.
     pub log_level: String,
     /// Period of the control loop, in milliseconds.
+    #[cfg_attr(feature = "schema", schemars(range(min = 100, max = 60_000)))]
     pub tick_ms: u64,
     /// Factor of the multiplicative decrease.
+    #[cfg_attr(feature = "schema", schemars(extend("exclusiveMinimum" = 0.0, "exclusiveMaximum" = 1.0)))]
     pub beta: f64,
     /// Upper bound of rented cores (Nmax); 0: none but what the cloud gives.
+    #[cfg_attr(feature = "schema", schemars(range(min = 0.0)))]
     pub max_cores: f64,
     /// Missed report periods after which a silent machine is returned.
+    #[cfg_attr(feature = "schema", schemars(range(min = 2.0, max = 1000.0)))]
     pub silent_reports: f64,
     /// How long an idle machine is kept, in milliseconds.
     pub idle_keep_ms: u64,
@@ -28,6 +33,7 @@
     /// Whether an account of usage is kept.
     pub ledger: bool,
     /// How often what ended is added to the account's sums, in milliseconds.
+    #[cfg_attr(feature = "schema", schemars(range(min = 500, max = 3_600_000)))]
     pub ledger_every_ms: u64,
 }
 
--- a/crates/ctl/src/schemas.rs
+++ b/crates/ctl/src/schemas.rs
@@ -1,5 +1,6 @@
 //! JSON Schemas of what is said over HTTP, made from the types that read and write it.
 
+use oatloom_core::operators::Operators;
 use oatloom_ledger::query::UsagePage;
 use oatloom_protocol::wire::{
     Catalog, Command, Hire, Hosts, JobSpec, JobView, MachineList, Redirect, Report, ReportAnswer,
@@ -17,6 +18,7 @@
         ("submission", of::<JobSpec>()),
         ("job", of::<JobView>()),
         ("usage", of::<UsagePage>()),
+        ("operators", of::<Operators>()),
         ("report", of::<Report>()),
         ("report-answer", of::<ReportAnswer>()),
         ("command", of::<Command>()),
@@ -56,6 +58,38 @@
         assert_eq!(files, all().len(), "a schema of nothing");
     }
 
+    /// What the operators' settings take in their JSON form is valid, and what they refuse is not.
+    #[test]
+    fn the_operators_settings_are_as_their_schema_says() {
+        let schema = validator("operators");
+        let whole = json!({"log-level":"info","tick-ms":500,"beta":0.9,"max-cores":0.0,"silent-reports":3.5,
+            "idle-keep-ms":10000,"ledger":true,"ledger-every-ms":30000,"classes":[
+                {"class":[{"name":["quick"]},{"repeats":[3]},{"on-exhausted":["finish-rest"]}]},
+                {"default":[{"repeats":[5]}]}]});
+        let takes = |value: &Value| {
+            serde_json::from_value::<Operators>(value.clone())
+                .is_ok_and(|read| read.check().is_ok())
+        };
+        assert!(takes(&whole) && schema.is_valid(&whole));
+        assert!(takes(&json!({})) && schema.is_valid(&json!({})));
+        for (field, value) in [
+            ("tick-ms", json!(5)),
+            ("beta", json!(1.0)),
+            ("beta", json!(0.0)),
+            ("max-cores", json!(-1.0)),
+            ("silent-reports", json!(1.5)),
+            ("ledger-every-ms", json!(1)),
+            ("ledger", json!("yes")),
+            ("novel", json!(1)),
+            ("classes", json!([{"klass":[]}])),
+            ("classes", json!([{"class":[{"repeats":["many"]}]}])),
+        ] {
+            let mut bad = whole.clone();
+            bad[field] = value;
+            assert!(!takes(&bad) && !schema.is_valid(&bad), "{bad}");
+        }
+    }
+
     /// The protocol's own examples are valid, and what its readers refuse is not.
     #[test]
     fn the_protocols_examples_are_valid() {
--- a/crates/policy/src/classes.rs
+++ b/crates/policy/src/classes.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 
 /// What becomes of a job of which a task has used up its repeats.
+#[cfg_attr(feature = "schema", derive(schemars::JsonSchema))]
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum OnExhausted {
@@ -50,6 +51,7 @@
     default: Option<Allowance>,
 }
 
+#[cfg_attr(feature = "schema", derive(schemars::JsonSchema))]
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 enum Entry {
@@ -58,6 +60,7 @@
 }
 
 // One-tuples, since a field is written `(repeats 3)`.
+#[cfg_attr(feature = "schema", derive(schemars::JsonSchema))]
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 enum Field {
@@ -147,6 +150,18 @@
     }
 }
 
+// As operators write it, not as it is kept.
+#[cfg(feature = "schema")]
+impl schemars::JsonSchema for Classes {
+    fn schema_name() -> std::borrow::Cow<'static, str> {
+        "Classes".into()
+    }
+
+    fn json_schema(generator: &mut schemars::SchemaGenerator) -> schemars::Schema {
+        Vec::<Entry>::json_schema(generator)
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/protocol/src/wire.rs
+++ b/crates/protocol/src/wire.rs
@@ -2,6 +2,7 @@
 //! send and expect.
 
 use crate::ids::{Attempt, HostId, JobId, LeaseId, Member, Revision, Shift, Tally, Token, Zone};
+use garde::Validate;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use serde_json::value::RawValue;
@@ -30,9 +31,11 @@
 
 /// A job as its user describes it.
 #[cfg_attr(feature = "schema", derive(schemars::JsonSchema))]
-#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize, Validate)]
+#[garde(allow_unvalidated)]
 pub struct JobSpec {
     #[serde(rename = "nameId")]
+    #[garde(custom(job_id))]
     pub id: JobId,
     #[serde(rename = "jobclass")]
     pub class: String,
@@ -41,18 +44,23 @@
     pub shape: Shape,
     pub rank: Rank,
     #[serde(rename = "shards")]
+    #[garde(custom(task_count))]
     #[cfg_attr(feature = "schema", schemars(range(min = 1, max = crate::constants::MAX_TASKS)))]
     pub tasks: u32,
+    #[garde(custom(amount("cpus")))]
     #[cfg_attr(feature = "schema", schemars(range(min = 0.0)))]
     pub cpus: f64,
+    #[garde(custom(amount("gpus")))]
     #[cfg_attr(feature = "schema", schemars(range(min = 0.0)))]
     pub gpus: f64,
     #[serde(rename = "memoryGb")]
+    #[garde(custom(amount("memoryGb")))]
     #[cfg_attr(feature = "schema", schemars(range(min = 0.0)))]
     pub memory_gb: f64,
     #[serde(rename = "bundle")]
     pub image: String,
     #[serde(rename = "pullGb")]
+    #[garde(custom(amount("pullGb")))]
     #[cfg_attr(feature = "schema", schemars(range(min = 0.0)))]
     pub image_gb: f64,
     #[serde(default)]
@@ -65,44 +73,50 @@
     #[serde(rename = "loaners")]
     pub spot: bool,
     #[serde(rename = "expectS")]
+    #[garde(custom(amount("expectS")))]
     #[cfg_attr(feature = "schema", schemars(range(min = 0.0)))]
     pub estimate_s: f64,
     #[serde(rename = "snapshotS")]
+    #[garde(custom(amount("snapshotS")))]
     #[cfg_attr(feature = "schema", schemars(range(min = 0.0)))]
     pub checkpoint_s: f64,
     #[serde(rename = "flushS")]
+    #[garde(custom(amount("flushS")))]
     #[cfg_attr(feature = "schema", schemars(range(min = 0.0)))]
     pub save_s: f64,
     #[serde(rename = "dueS", default)]
+    #[garde(inner(custom(amount("dueS"))))]
     #[cfg_attr(feature = "schema", schemars(range(min = 0.0)))]
     pub deadline_s: Option<f64>,
 }
 
+fn job_id(id: &JobId, _: &()) -> garde::Result {
+    let good = JobId::parse(id.as_str()).is_some();
+    good.then_some(()).ok_or_else(|| garde::Error::new("nameId is not of the form req-000000"))
+}
+
+fn task_count(tasks: &u32, _: &()) -> garde::Result {
+    let good = (1..=crate::constants::MAX_TASKS).contains(tasks);
+    good.then_some(()).ok_or_else(|| garde::Error::new("shards must be from 1 to 100000"))
+}
+
+/// Checks an amount; the text has to name the field as users know it.
+fn amount(field: &'static str) -> impl Fn(&f64, &()) -> garde::Result {
+    move |amount, ()| {
+        let good = amount.is_finite() && *amount >= 0.0;
+        let text = || garde::Error::new(format!("{field} must be a finite amount, 0 or more"));
+        good.then_some(()).ok_or_else(text)
+    }
+}
+
 impl JobSpec {
-    /// Checks what the types alone do not say; the text names the field.
+    /// Checks what the types alone do not say.
+    ///
+    /// # Errors
+    /// The first field that is out of its range, by the name that users know it by.
     pub fn check(&self) -> Result<(), String> {
-        if JobId::parse(self.id.as_str()).is_none() {
-            return Err("nameId is not of the form req-000000".into());
-        }
-        if self.tasks == 0 || self.tasks > crate::constants::MAX_TASKS {
-            return Err("shards must be from 1 to 100000".into());
-        }
-        let amounts = [
-            ("cpus", self.cpus),
-            ("gpus", self.gpus),
-            ("memoryGb", self.memory_gb),
-            ("pullGb", self.image_gb),
-            ("expectS", self.estimate_s),
-            ("snapshotS", self.checkpoint_s),
-            ("flushS", self.save_s),
-            ("dueS", self.deadline_s.unwrap_or(0.0)),
-        ];
-        for (name, amount) in amounts {
-            if !amount.is_finite() || amount < 0.0 {
-                return Err(format!("{name} must be a finite amount, 0 or more"));
-            }
-        }
-        Ok(())
+        let first = |report: garde::Report| report.iter().next().map(|(_, e)| e.to_string());
+        self.validate().map_err(|report| first(report).unwrap_or_default())
     }
 }
 
--- a/tests/repeats.rs
+++ b/tests/repeats.rs
@@ -4,10 +4,12 @@
 #[allow(dead_code)]
 mod world;
 
+use oatloom_emulator::checker::Start;
 use oatloom_emulator::worker::Broken;
-use oatloom_protocol::wire::{JobStatus, Shape};
+use oatloom_protocol::wire::{Cause, JobStatus, Shape};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeSet;
 use world::{Fault, World};
 
 const CLASSES: &str = "((classes (class (name \"quick\") (repeats 2) (on-exhausted fail-job))
@@ -19,6 +21,8 @@
     failed: usize,
     broken_jobs: usize,
     refused_ms: Vec<u64>,
+    /// Machines on which each job failed that was submitted with a mistake.
+    burnt: Vec<usize>,
     /// Days with a wrong verdict: refused for others' faults, or started once too often.
     wrong: Vec<String>,
 }
@@ -58,6 +62,17 @@
     tally.failed += world.told(JobStatus::Failed);
     tally.broken_jobs += world.region.outside.broken.len();
     tally.refused_ms.append(&mut world.region.checker.refused_ms);
+    let checker = &world.region.checker;
+    for (job, _) in
+        world.region.outside.broken.iter().filter(|(_, how)| matches!(how, Broken::Always))
+    {
+        let failed = |((_, (of, ..)), (cause, _)): &(&(String, Start), &(Cause, u64))| {
+            of == job && *cause == Cause::Error
+        };
+        let hosts: BTreeSet<&str> =
+            checker.exits.iter().filter(failed).map(|((host, _), _)| host.as_str()).collect();
+        tally.burnt.extend((!hosts.is_empty()).then_some(hosts.len()));
+    }
 }
 
 fn seeds(from: u64, count: u64) {
@@ -81,6 +96,19 @@
         at(0.5),
         at(0.99)
     );
+    tally.burnt.sort_unstable();
+    let burnt = |share: f64| tally.burnt.get((tally.burnt.len() as f64 * share) as usize);
+    println!(
+        "{} jobs with a mistake failed on {:?} machines (p50), {:?} (p99), {:?} at most",
+        tally.burnt.len(),
+        burnt(0.5),
+        burnt(0.99),
+        tally.burnt.last()
+    );
+    // A job is held to the machines it has failed on once these are three; its tasks that had started by then, and
+    // machines that were lost, add a few.
+    assert!(burnt(0.5).is_none_or(|n| *n <= 3), "{:?}", tally.burnt);
+    assert!(tally.burnt.last().is_none_or(|n| *n <= 10), "{:?}", tally.burnt);
     assert!(tally.failed > 0, "nothing was refused");
     // One machine in ten is faulty here and one job in seven broken, ten times what the model expects, and a job
     // that met two faulty machines in a row cannot be told from a bad one.
