Graphs: the deterministic core of task graphs and their clients' sessions, not yet used

Need: Ray-style task graphs as durable work of oatloom itself: one scheduler, one set of rules. Ruled out: a record for each node's state. How a node ended stands in the records of the job that ran it, which are written anyway; a graph writes only its description and its end. Measured: unit tests; the rest follows with its use.

--- /dev/null
+++ b/crates/graph/src/constants.rs
@@ -0,0 +1,59 @@
+//! Every constant of graphs and sessions, with its unit and the reason for its value.
+
+use oatloom_protocol::ids::Millis;
+
+/// Graph numbers lie below this: with it a node's job id keeps the 20 digits that ids may have.
+pub const GRAPHS_END: u64 = 10_000_000_000;
+/// Jobs of one graph: nine digits of a job's id.
+pub const JOBS_END: u64 = 1_000_000_000;
+/// Longest name of a node, a kind, an addition or a session, in bytes: they stand in records of 8 KiB.
+pub const NAME_BYTES: usize = 80;
+/// Longest key of a session, in bytes.
+pub const KEY_BYTES: usize = 128;
+/// Shortest key of a session, in bytes: what can be guessed is no key.
+pub const KEY_LEAST_BYTES: usize = 8;
+/// Inputs that one node may name: a node that gathers more takes them through nodes between, or as one node of
+/// many shards.
+pub const INPUTS_MOST: usize = 1_000;
+/// Kinds of node in one graph: a number of two bytes, and far more than anyone tells apart.
+pub const KINDS_MOST: usize = 1_000;
+/// Retries that a node may ask for; its class bounds it further.
+pub const RETRIES_MOST: u32 = 1_000;
+/// Nodes that go as one array: what is to be kept of each when the array ends fits into a record of 8 KiB.
+pub const BATCH_MOST: usize = 400;
+/// Runs of consecutive nodes in one array, for the same reason.
+pub const RUNS_MOST: usize = 200;
+/// Tasks of one gang or array that a node may be; the protocol's bound for a job.
+pub const SHARDS_MOST: u32 = oatloom_protocol::constants::MAX_TASKS;
+/// Share of a value that a page of nodes takes: the rest is for its JSON around them.
+pub const PAGE_SHARE: f64 = 0.8;
+/// Bytes of values in one transaction; the state service allows 64 KiB in total.
+pub const TXN_BYTES: usize = 40 * 1024;
+/// Jobs of graphs that are open at once, in all and of one graph: a placement pass looks at each.
+pub const OPEN_JOBS_MOST: usize = 1_000;
+pub const OPEN_JOBS_OF_ONE: usize = 250;
+/// How often the longest remaining paths of a graph are worked out anew, at most; 100,000 nodes take some
+/// milliseconds.
+pub const PATHS_EVERY_MS: Millis = Millis(2_000);
+/// Learned run times that moved by less than this share leave the paths as they are.
+pub const LEARNT_STEP: f64 = 0.2;
+/// Base of the steps by which remaining paths are told apart: nodes of one shape whose paths are alike within a
+/// quarter go as one array.
+pub const PATH_STEP: f64 = 1.25;
+/// Time that a graph without a due time is taken to have, in seconds: what DESIGN gives jobs without one.
+pub const UNDATED_S: f64 = 600.0;
+/// Run time of a node whose kind tells none, in seconds: one task of the paper's first measurement, about.
+pub const UNKNOWN_S: f64 = 10.0;
+/// Shortest time that a node is given until it is due, in seconds: one tick of the loop.
+pub const DUE_LEAST_S: f64 = 1.0;
+/// Changed nodes in one answer, at most and unless asked otherwise: some 60 KiB.
+pub const ANSWER_NODES: usize = 400;
+/// Shortest and longest time to live of a session: below, a takeover would end it; above, nobody would miss it.
+pub const TTL_LEAST_S: f64 = 10.0;
+pub const TTL_MOST_S: f64 = 86_400.0;
+/// When a client is told to come back with what cannot be taken now, in seconds.
+pub const RETRY_S: u32 = 1;
+/// Graphs that are ending at the same time: each writes a page for each of its pages.
+pub const ENDING_MOST: usize = 64;
+/// Final answers of graphs that are kept in memory; the state service has them all.
+pub const OVER_KEPT: usize = 1_000;
--- /dev/null
+++ b/crates/graph/src/limits.rs
@@ -0,0 +1,150 @@
+//! How much of graphs and sessions is taken on, and how fast.
+
+use oatloom_protocol::ids::{Millis, Mono};
+use oatloom_protocol::settings::BadField;
+use serde::Deserialize;
+
+/// The operators' bounds; every field has a default. What is beyond them is refused at once, with when to come back.
+#[cfg_attr(feature = "schema", derive(schemars::JsonSchema))]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Limits {
+    /// Sessions at a time, in all and of one team.
+    pub sessions: u32,
+    pub team_sessions: u32,
+    /// Graphs at a time, in all and of one team.
+    pub graphs: u32,
+    pub team_graphs: u32,
+    /// Nodes of graphs that are not over, in all, of one team and of one graph.
+    pub nodes: u32,
+    pub team_nodes: u32,
+    pub graph_nodes: u32,
+    /// Bytes of their descriptions in the state service, in all and of one team.
+    pub bytes: u64,
+    pub team_bytes: u64,
+    /// Additions, new graphs and new sessions a second, in all and of one team; bursts of two seconds' worth.
+    pub additions_per_s: f64,
+    pub team_additions_per_s: f64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            sessions: 200,
+            team_sessions: 100,
+            graphs: 1_000,
+            team_graphs: 1_000,
+            // Some 200 bytes each: a controller of 40 MB carries it.
+            nodes: 50_000,
+            team_nodes: 50_000,
+            graph_nodes: 50_000,
+            bytes: 20_000_000,
+            team_bytes: 20_000_000,
+            // Each is a change or more of the 25 a second that small state services take.
+            additions_per_s: 10.0,
+            team_additions_per_s: 10.0,
+        }
+    }
+}
+
+impl Limits {
+    /// Checks what the types alone do not say.
+    ///
+    /// # Errors
+    /// The first field that is out of its range, and the range.
+    pub fn check(&self) -> Result<(), BadField> {
+        let bad = |field: &str, text: &str| Err(BadField::new(&format!("graph-limits: {field}"), text));
+        for (field, rate) in [
+            ("additions-per-s", self.additions_per_s),
+            ("team-additions-per-s", self.team_additions_per_s),
+        ] {
+            if !(0.1..=10_000.0).contains(&rate) {
+                return bad(field, "must be from 0.1 to 10000");
+            }
+        }
+        for (field, number) in [
+            ("sessions", self.sessions),
+            ("team-sessions", self.team_sessions),
+            ("graphs", self.graphs),
+            ("team-graphs", self.team_graphs),
+            ("nodes", self.nodes),
+            ("team-nodes", self.team_nodes),
+            ("graph-nodes", self.graph_nodes),
+        ] {
+            if !(1..=10_000_000).contains(&number) {
+                return bad(field, "must be from 1 to 10000000");
+            }
+        }
+        if self.bytes == 0 || self.team_bytes == 0 {
+            return bad("bytes", "must be above 0");
+        }
+        Ok(())
+    }
+}
+
+/// A rate with bursts of two seconds' worth.
+#[derive(Clone, Copy, Debug)]
+pub struct Bucket {
+    level: f64,
+    at: Mono,
+}
+
+impl Bucket {
+    pub fn full(rate: f64, now: Mono) -> Self {
+        Self { level: Self::most(rate), at: now }
+    }
+
+    fn most(rate: f64) -> f64 {
+        (rate * 2.0).max(1.0)
+    }
+
+    fn refill(&mut self, rate: f64, now: Mono) {
+        self.level = (self.level + now.since(self.at).secs() * rate).min(Self::most(rate));
+        self.at = now;
+    }
+
+    /// Whether one more may be taken now.
+    pub fn has(&mut self, rate: f64, now: Mono) -> bool {
+        self.refill(rate, now);
+        self.level >= 1.0
+    }
+
+    /// Takes one.
+    pub fn take(&mut self) {
+        self.level -= 1.0;
+    }
+
+    /// Whether nothing was taken for so long that it need not be kept.
+    pub fn idle(&self, rate: f64, now: Mono) -> bool {
+        now.since(self.at) > Millis::from_secs(Self::most(rate) / rate)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_rate_is_kept_with_bursts() {
+        let mut bucket = Bucket::full(10.0, Mono(0));
+        let mut take = |now| {
+            let may = bucket.has(10.0, Mono(now));
+            if may {
+                bucket.take();
+            }
+            may
+        };
+        assert_eq!((0..100).filter(|_| take(0)).count(), 20);
+        assert!(!take(50) && take(101));
+        assert_eq!((0..10_000).filter(|n| take(101 + n)).count(), 100);
+    }
+
+    #[test]
+    fn limits_out_of_range_are_named() {
+        assert_eq!(Limits::default().check(), Ok(()));
+        let bad = Limits { nodes: 0, ..Limits::default() };
+        assert!(bad.check().unwrap_err().to_string().contains("graph-limits: nodes"));
+        let bad = Limits { additions_per_s: f64::NAN, ..Limits::default() };
+        assert!(bad.check().unwrap_err().to_string().contains("additions-per-s"));
+    }
+}
--- /dev/null
+++ b/crates/graph/src/loading.rs
@@ -0,0 +1,249 @@
+//! What a new leader reads before it goes on with graphs: sessions, heads and pages, then how the jobs of each graph
+//! ended. It does so while it leads already; ordinary jobs do not wait for it.
+
+use crate::desk::Desk;
+use crate::ids::{GraphId, Seq};
+use crate::live::{Live, Phase, Why};
+use crate::records::{
+    GRAPHS, GraphKey, Head, Part, PartEnd, SESSION_COUNT, SESSIONS, SessionRecord, parse_key,
+};
+use crate::requests::OnFailure;
+use crate::sessions::{self, Session};
+use oatloom_protocol::ids::{JobId, Mono, Now, Revision};
+use oatloom_protocol::wire::{Failure, JobStatus, Rank, Row};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Where reading stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Stage {
+    Count,
+    Sessions { after: String },
+    Graphs { after: String },
+    /// How jobs ended, in the order of their ids, from this one on.
+    Jobs { after: JobId },
+    Ready,
+}
+
+/// What is to be read next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Read {
+    Key(String),
+    List { prefix: String, after: String },
+    /// Final states of jobs that graphs may have, after this id.
+    Ended { after: JobId },
+}
+
+/// A final state of a job, as far as graphs need it.
+#[derive(Clone, Debug)]
+pub struct Ended {
+    pub id: JobId,
+    pub end: PartEnd,
+    pub status: JobStatus,
+    pub failure: Option<Arc<Failure>>,
+}
+
+/// An open job of a graph, with the tasks of it that are done for good.
+#[derive(Clone, Debug)]
+pub struct OpenJob {
+    pub seq: Seq,
+    pub part: Part,
+    pub done: Vec<u32>,
+}
+
+/// The ids of all jobs of graphs begin so.
+pub const JOBS_PREFIX: &str = "req-9";
+
+impl Desk {
+    /// The one place where the stage changes.
+    fn enter(&mut self, stage: Stage) {
+        self.stage = stage;
+    }
+
+    /// What is to be read next; `None`: all has been.
+    pub fn next_read(&self) -> Option<Read> {
+        match &self.stage {
+            Stage::Count => Some(Read::Key(SESSION_COUNT.to_owned())),
+            Stage::Sessions { after } => {
+                Some(Read::List { prefix: SESSIONS.to_owned(), after: after.clone() })
+            }
+            Stage::Graphs { after } => {
+                Some(Read::List { prefix: GRAPHS.to_owned(), after: after.clone() })
+            }
+            Stage::Jobs { after } => Some(Read::Ended { after: after.clone() }),
+            Stage::Ready => None,
+        }
+    }
+
+    /// The number of sessions was read, at this version.
+    pub fn read_count(&mut self, stamp: Revision) {
+        self.count_stamp = stamp;
+        self.enter(Stage::Sessions { after: String::new() });
+    }
+
+    /// A page of sessions, or of graphs, was read.
+    pub fn read_rows(&mut self, rows: Vec<Row>, more: bool, now: Now) {
+        let last = rows.last().map(|row| row.key.clone()).filter(|_| more);
+        match &self.stage {
+            Stage::Sessions { .. } => {
+                rows.into_iter().for_each(|row| self.read_session(row, now.mono));
+                match last {
+                    Some(after) => self.enter(Stage::Sessions { after }),
+                    None => self.enter(Stage::Graphs { after: String::new() }),
+                }
+            }
+            Stage::Graphs { .. } => {
+                rows.into_iter().for_each(|row| self.read_graph(row, now));
+                match last {
+                    Some(after) => self.enter(Stage::Graphs { after }),
+                    None => self.begin_jobs(now.mono),
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn read_session(&mut self, row: Row, now: Mono) {
+        let Some(name) = row.key.strip_prefix(SESSIONS) else { return };
+        let read = serde_json::from_value::<SessionRecord>(row.value);
+        // What cannot be read belongs to nobody: it has ended.
+        let record = read.unwrap_or_else(|_| SessionRecord {
+            key: String::new(),
+            owner: String::new(),
+            ttl_ms: 0,
+            ended: true,
+        });
+        self.sessions.insert(name.to_owned(), Session::new(record, row.version, now));
+    }
+
+    fn read_graph(&mut self, row: Row, now: Now) {
+        match parse_key(&row.key) {
+            Some(GraphKey::Head(id)) => {
+                let read = serde_json::from_value::<Head>(row.value);
+                let text = read.as_ref().err().map(ToString::to_string);
+                let head = read.unwrap_or_else(|_| Head {
+                    session: String::new(),
+                    key: String::new(),
+                    owner: String::new(),
+                    class: String::new(),
+                    rank: Rank::Low,
+                    due_s: None,
+                    on_failure: OnFailure::CancelRest,
+                    detached: true,
+                    wall_ms: now.wall_ms,
+                    cancelled: false,
+                });
+                let age = now.wall_ms.saturating_sub(head.wall_ms);
+                let created = Mono(now.mono.0.saturating_sub(age));
+                self.insert(Live::new(id, head, row.version, Phase::Loading, created));
+                if let Some(text) = text {
+                    self.damaged.insert(id, text);
+                }
+            }
+            Some(GraphKey::Page(id, page)) => {
+                let Some(live) = self.graphs.get_mut(&id) else {
+                    // Its graph is over.
+                    self.queue.sweep(id, page);
+                    return;
+                };
+                let bytes = row.value.to_string().len();
+                let read = serde_json::from_value(row.value).map_err(|e| e.to_string());
+                let applied = match read {
+                    _ if page != live.model.page_count() => Err("a page is missing".to_owned()),
+                    Ok(page) => live.model.apply(&page, bytes).map_err(|e| e.to_string()),
+                    Err(text) => Err(format!("page {page}: {text}")),
+                };
+                if let Err(text) = applied {
+                    self.damaged.entry(id).or_insert(text);
+                }
+            }
+            None => {}
+        }
+    }
+
+    fn begin_jobs(&mut self, now: Mono) {
+        match self.graphs.keys().next() {
+            Some(first) => self.enter(Stage::Jobs { after: before(*first) }),
+            None => self.all_read(now),
+        }
+    }
+
+    /// A page of final states was read, in the order of their ids: `last` is that of the last one, if there are more.
+    /// `open` tells of the jobs of a graph that are open.
+    pub fn read_ended(
+        &mut self,
+        ended: Vec<Ended>,
+        last: Option<JobId>,
+        open: &dyn Fn(GraphId) -> Vec<OpenJob>,
+        now: Mono,
+    ) {
+        let Stage::Jobs { .. } = self.stage else { return };
+        for Ended { id, end, status, failure } in ended {
+            if let Some((graph, seq)) = GraphId::of_job(&id)
+                && let Some(live) = self.graphs.get_mut(&graph)
+            {
+                live.job_over(seq, &end, status, failure.as_ref());
+            }
+        }
+        // Graphs that the reading has passed are known whole.
+        let reached = last.as_ref().and_then(GraphId::of_job).map(|(graph, _)| graph);
+        let unread = |live: &&Live| live.phase == Phase::Loading;
+        let loading: Vec<GraphId> = self.graphs.values().filter(unread).map(|l| l.id).collect();
+        let (passed, ahead): (Vec<GraphId>, Vec<GraphId>) =
+            loading.into_iter().partition(|id| last.is_none() || reached.is_some_and(|r| *id < r));
+        for id in passed {
+            self.activate(id, open(id));
+        }
+        match (last, ahead.first()) {
+            // Others' jobs, of graphs that are over, are not read.
+            (Some(last), Some(next)) => {
+                let after = before(*next);
+                self.enter(Stage::Jobs { after: after.max(last) });
+            }
+            _ => self.all_read(now),
+        }
+    }
+
+    fn all_read(&mut self, now: Mono) {
+        self.enter(Stage::Ready);
+        // Nobody could be heard until now.
+        self.deaf_until(now);
+        let ended = |(name, s): (&String, &Session)| {
+            (s.phase == sessions::Phase::Ended).then(|| name.clone())
+        };
+        for name in self.sessions.iter().filter_map(ended).collect::<Vec<_>>() {
+            self.session_ended(&name);
+        }
+    }
+
+    /// All that is durable of a graph is known: it goes on.
+    fn activate(&mut self, id: GraphId, open: Vec<OpenJob>) {
+        let Some(live) = self.graphs.get_mut(&id) else { return };
+        for OpenJob { seq, part, done } in open {
+            live.job_open(seq, &part, &done);
+            self.open_jobs += 1;
+        }
+        live.stale = true;
+        live.enter(Phase::Open);
+        let session = self.sessions.get(&live.head.session);
+        let gone = !live.head.detached
+            && session.is_none_or(|session| session.phase == sessions::Phase::Ended);
+        if let Some(text) = self.damaged.remove(&id) {
+            self.stop(id, Why::Damaged(text));
+        } else if live.head.cancelled {
+            self.stop(id, Why::Cancelled);
+        } else if gone {
+            self.stop(id, Why::SessionGone);
+        } else {
+            self.review(id);
+        }
+    }
+}
+
+/// An id before all jobs of a graph and after those of the graphs before it.
+fn before(id: GraphId) -> JobId {
+    JobId::new(&format!("{JOBS_PREFIX}{}", id.digits()))
+}
+
+/// Graphs whose records cannot be read, and what is wrong with them.
+pub(crate) type Damages = BTreeMap<GraphId, String>;
--- /dev/null
+++ b/crates/graph/src/paths.rs
@@ -0,0 +1,59 @@
+//! When nodes are due: from the graph's due time and the longest path that remains after them, so that the control
+//! loop and placement see graph work as any other.
+
+use crate::constants::*;
+use crate::model::{Kind, Node};
+use oatloom_protocol::ids::{Millis, Mono};
+
+/// What a node of a kind takes, in seconds: what was seen of it, else its estimate as far as its class is misjudged.
+pub fn seconds(kind: &Kind, bias: f64) -> f64 {
+    let estimate = if kind.spec.expect_s > 0.0 { kind.spec.expect_s * bias } else { UNKNOWN_S };
+    match kind.learnt_s {
+        // It ends with the others.
+        _ if kind.is_actor() => 0.0,
+        Some(learnt) => learnt,
+        None => estimate,
+    }
+}
+
+/// When a graph is due: as its client said, else so long from now that its longest path fits half as often again.
+pub fn graph_due(created: Mono, due_s: Option<f64>, path_s: f64, now: Mono) -> Mono {
+    match due_s {
+        Some(due_s) => created.plus(Millis::from_secs(due_s)),
+        None => now.plus(Millis::from_secs(UNDATED_S.max(path_s * 1.5))),
+    }
+}
+
+/// How long a node has from now until it is due, in seconds.
+pub fn node_due_s(due: Mono, node: &Node, own_s: f64, now: Mono) -> f64 {
+    let after_s = (f64::from(node.path_s) - own_s).max(0.0);
+    let left_s = (due.0 as f64 - now.0 as f64) / 1000.0;
+    (left_s - after_s).max(DUE_LEAST_S)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::model::Model;
+    use crate::model::tests::{add, addition};
+
+    /// A chain's nodes are due one after the other, each as long before the graph as the rest of the chain takes.
+    #[test]
+    fn a_chain_is_due_step_by_step() {
+        let mut model = Model::default();
+        let chain: &[(&str, &str, &[&str])] =
+            &[("a", "k", &[]), ("b", "l", &["a"]), ("c", "k", &["b"])];
+        add(&mut model, &addition("1", chain)).unwrap();
+        model.weigh(|kind| seconds(kind, 1.0));
+        let due = graph_due(Mono(0), Some(100.0), 50.0, Mono(0));
+        let left = |name: &str, own: f64| {
+            let node = model.node(model.find(name).unwrap()).unwrap();
+            node_due_s(due, node, own, Mono(10_000))
+        };
+        assert_eq!((left("a", 10.0), left("b", 30.0), left("c", 10.0)), (50.0, 80.0, 90.0));
+        let late = graph_due(Mono(0), Some(5.0), 50.0, Mono(0));
+        let a = model.node(model.find("a").unwrap()).unwrap();
+        assert_eq!(node_due_s(late, a, 10.0, Mono(10_000)), DUE_LEAST_S);
+        assert_eq!(graph_due(Mono(0), None, 1_000.0, Mono(7)), Mono(1_500_007));
+    }
+}
--- /dev/null
+++ b/crates/graph/src/runs.rs
@@ -0,0 +1,73 @@
+//! Lists of nodes in short form: runs of consecutive ones.
+
+use crate::ids::NodeIx;
+use serde::{Deserialize, Serialize};
+
+/// Nodes in ascending order, as pairs of the first of a run and its length.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Runs(Vec<(u32, u32)>);
+
+impl Runs {
+    /// Takes nodes in ascending order, as far as `most` runs hold them; how many that were.
+    pub fn of(nodes: &[NodeIx], most: usize) -> (Self, usize) {
+        let mut runs: Vec<(u32, u32)> = Vec::new();
+        for (taken, node) in nodes.iter().enumerate() {
+            let full = runs.len() == most;
+            match runs.last_mut() {
+                Some((first, length)) if first.checked_add(*length) == Some(node.0) => *length += 1,
+                _ if full => return (Self(runs), taken),
+                _ => runs.push((node.0, 1)),
+            }
+        }
+        (Self(runs), nodes.len())
+    }
+
+    /// How many nodes there are; a record from outside may say anything.
+    pub fn len(&self) -> usize {
+        self.0.iter().fold(0usize, |sum, (_, length)| sum.saturating_add(*length as usize))
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// The node at a place in the list.
+    pub fn get(&self, place: usize) -> Option<NodeIx> {
+        let mut left = u32::try_from(place).ok()?;
+        for (first, length) in &self.0 {
+            if left < *length {
+                return first.checked_add(left).map(NodeIx);
+            }
+            left -= length;
+        }
+        None
+    }
+
+    /// All nodes, the first `most` of them.
+    pub fn iter(&self, most: usize) -> impl Iterator<Item = NodeIx> + '_ {
+        let each = |(first, length): &(u32, u32)| {
+            let first = *first;
+            (0..*length).filter_map(move |n| first.checked_add(n)).map(NodeIx)
+        };
+        self.0.iter().flat_map(each).take(most)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn runs_hold_what_was_put_in() {
+        let nodes: Vec<NodeIx> = [3, 4, 5, 9, 11, 12].map(NodeIx).to_vec();
+        let (runs, taken) = Runs::of(&nodes, 10);
+        assert_eq!((taken, runs.len()), (6, 6));
+        assert_eq!(runs.iter(99).collect::<Vec<_>>(), nodes);
+        assert_eq!((runs.get(3), runs.get(6)), (Some(NodeIx(9)), None));
+        let (short, taken) = Runs::of(&nodes, 2);
+        assert_eq!((taken, short.get(3)), (4, Some(NodeIx(9))));
+        let broken: Runs = serde_json::from_str("[[4294967295,9],[0,4294967295]]").unwrap();
+        assert!(broken.iter(20).count() <= 20 && broken.get(5).is_none());
+    }
+}
