--- a/crates/graph/src/constants.rs
+++ b/crates/graph/src/constants.rs
@@ -1,7 +1,5 @@
 //! Every constant of graphs and sessions, with its unit and the reason for its value.
 
-use oatloom_protocol::ids::Millis;
-
 /// Graph numbers lie below this: with it a node's job id keeps the 20 digits that ids may have.
 pub const GRAPHS_END: u64 = 10_000_000_000;
 /// Jobs of one graph: nine digits of a job's id.
@@ -32,9 +30,9 @@
 /// Jobs of graphs that are open at once, in all and of one graph: a placement pass looks at each.
 pub const OPEN_JOBS_MOST: usize = 1_000;
 pub const OPEN_JOBS_OF_ONE: usize = 250;
-/// How often the longest remaining paths of a graph are worked out anew, at most; 100,000 nodes take some
-/// milliseconds.
-pub const PATHS_EVERY_MS: Millis = Millis(2_000);
+/// Pause between two weighings of a graph's longest remaining paths, in milliseconds a node: a weighing takes some 0.1 us
+/// a node, so that it stays below a hundredth of a core.
+pub const PATHS_MS_A_NODE: f64 = 0.02;
 /// Learned run times that moved by less than this share leave the paths as they are.
 pub const LEARNT_STEP: f64 = 0.2;
 /// Base of the steps by which remaining paths are told apart: nodes of one shape whose paths are alike within a
--- a/crates/graph/src/launching.rs
+++ b/crates/graph/src/launching.rs
@@ -8,7 +8,7 @@
 use crate::records::{Head, Part};
 use crate::requests::{NodeShape, Strategy};
 use crate::runs::Runs;
-use oatloom_protocol::ids::{JobId, Mono};
+use oatloom_protocol::ids::{JobId, Millis, Mono};
 use oatloom_protocol::wire::{JobSpec, Shape};
 
 /// In which order nodes go.
@@ -92,7 +92,8 @@
 
     /// Weighs the paths anew if they have changed, though not too often. Returns whether it did.
     pub fn weigh(&mut self, bias: f64, now: Mono) -> bool {
-        let due = self.weighed.is_none_or(|at| now.since(at) >= PATHS_EVERY_MS);
+        let pause = Millis((f64::from(self.model.len()) * PATHS_MS_A_NODE) as u64);
+        let due = self.weighed.is_none_or(|at| now.since(at) >= pause);
         if !self.stale || !due {
             return false;
         }
