A client library for jobs and graphs, oatloomctl graph, machines of up that ask what a graph's job is

Need: graphs have to be usable against a region on one machine, from a program and from a shell. Ruled out: clients that upload each job's description: which nodes go as one job is decided by the leader. Change: oatloom-client (blocking: retries, sessions kept alive, additions in pages, resumed watches), which the command line uses too; oatloomctl graph submit, status, watch, cancel, show; GET /v2/runs/{id}/nodes.

--- a/crates/ctl/src/users.rs
+++ b/crates/client/src/users.rs
@@ -98,6 +98,13 @@
         callers[at % callers.len()].ask(method, &path, &body)
     }
 
+    /// Asks the next controller, once.
+    pub fn ask_next(&mut self, method: &str, path: &str, body: &[u8]) -> Option<Answer> {
+        let callers = if method == "GET" { &self.polls } else { &self.submits };
+        self.next += 1;
+        callers.get((self.next - 1) % callers.len().max(1))?.ask(method, path, body)
+    }
+
     /// Asks until there is an answer that counts, or the time is up.
     pub fn insist(&mut self, wish: &Wish, patience: Millis) -> Told {
         let began = Instant::now();
--- a/crates/ctl/src/constants.rs
+++ b/crates/ctl/src/constants.rs
@@ -2,23 +2,21 @@
 
 use oatloom_protocol::ids::Millis;
 
-// --- Users' requests (protocol) ---------------------------------------------
+// --- Users' requests -----------------------------------------------------------
 
-/// How long a user waits for the answer to a submission or a cancellation, and to a poll.
-pub const SUBMIT_TIMEOUT_MS: Millis = Millis(5_000);
-pub const POLL_TIMEOUT_MS: Millis = Millis(2_000);
-/// Least time before a request is sent again, and longest that `Retry-After` is heeded.
-pub const RETRY_LEAST_MS: Millis = Millis(1_000);
-pub const RETRY_MOST_S: u32 = 30;
-/// How long a request is sent again before it is given up.
-pub const GIVE_UP_MS: Millis = Millis(60_000);
-/// How long controllers of which none was ever reached are tried: one that was killed is back by then.
-pub const UNREACHABLE_MS: Millis = Millis(5_000);
-/// Largest answer read.
-pub const ANSWER_BYTES: u64 = 1024 * 1024;
+pub use oatloom_client::constants::{
+    ANSWER_BYTES, GIVE_UP_MS, POLL_TIMEOUT_MS, RETRY_LEAST_MS, SUBMIT_TIMEOUT_MS, UNREACHABLE_MS,
+};
 /// Period of polls of one who waits at a terminal.
 pub const WATCH_EVERY_MS: Millis = Millis(500);
 
+// --- Task graphs ----------------------------------------------------------------
+
+/// How long a session of the command line lives without a heartbeat, in seconds: over a takeover, and not much more.
+pub const SESSION_TTL_S: f64 = 30.0;
+/// Rows of a plan that are printed unless all are wanted.
+pub const PLAN_ROWS: usize = 40;
+
 // --- A region on one machine -------------------------------------------------
 
 /// Controllers of a region.
--- a/crates/ctl/src/jobs.rs
+++ b/crates/ctl/src/jobs.rs
@@ -1,8 +1,8 @@
 //! Jobs from the command line: what is asked, what is printed, and the status that scripts see.
 
 use crate::constants::*;
-use crate::users::{Controllers, Told, Wish};
 use indicatif::{ProgressBar, ProgressStyle};
+use oatloom_client::users::{Controllers, Told, Wish};
 use oatloom_protocol::ids::JobId;
 use oatloom_protocol::wire::{JobSpec, JobStatus, JobView, Rank, Shape};
 use std::io::IsTerminal;
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,6 +1,7 @@
 //! What `oatloomctl` does: a region on one machine, jobs from the command line, and rehearsals.
 
 pub mod constants;
+pub mod graphs;
 pub mod jobs;
 pub mod launch;
 pub mod schemas;
@@ -8,4 +9,3 @@
 pub mod suite;
 pub mod up;
 pub mod usage;
-pub mod users;
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,14 +1,15 @@
 //! The command line.
 
 use clap::{Parser, Subcommand};
+use oatloom_client::users::{Controllers, Wish};
 use oatloom_ctl::constants::{ANSWER_BYTES, CONTROLLERS, OWN_PORT_BEYOND, PORT, SUBMIT_TIMEOUT_MS};
+use oatloom_ctl::graphs;
 use oatloom_ctl::jobs::{self, Sketch, exit};
 use oatloom_ctl::schemas;
 use oatloom_ctl::settings::Local;
 use oatloom_ctl::suite::{self, Findings, Length, Scenario};
 use oatloom_ctl::up;
 use oatloom_ctl::usage::{self, Question};
-use oatloom_ctl::users::{Controllers, Wish};
 use oatloom_logging::Format;
 use oatloom_protocol::ids::JobId;
 use oatloom_web::client::Caller;
@@ -39,10 +40,16 @@
 #[derive(clap::Args)]
 struct Where {
     /// Addresses of the controllers, with commas between them
-    #[arg(long, env = "OATLOOM_CONTROLLERS", value_delimiter = ',', value_name = "ADDRESSES")]
+    #[arg(
+        long,
+        global = true,
+        env = "OATLOOM_CONTROLLERS",
+        value_delimiter = ',',
+        value_name = "ADDRESSES"
+    )]
     controllers: Vec<SocketAddr>,
     /// One line of JSON instead of text
-    #[arg(long)]
+    #[arg(long, global = true)]
     json: bool,
 }
 
@@ -113,6 +120,13 @@
         #[command(flatten)]
         at: Where,
     },
+    /// Task graphs, where controllers serve them
+    Graph {
+        #[command(subcommand)]
+        command: graphs::Command,
+        #[command(flatten)]
+        at: Where,
+    },
     /// Print the JSON Schemas of what is said over HTTP, or write them to a folder
     Schema {
         /// Only this one
@@ -212,6 +226,8 @@
         }
         Command::Usage { question, at } => usage::run(&question, &at.addresses(), at.json)
             .map_err(|e| Failure(e.status(), e.to_string())),
+        Command::Graph { command, at } => graphs::run(&command, &at.addresses(), at.json)
+            .map_err(|e| Failure(e.status(), e.to_string())),
         Command::Schema { name, write } => print_schemas(name.as_deref(), write.as_deref()),
         Command::Fault { fault, region } => {
             let address = own_address(region);
--- a/crates/ctl/src/schemas.rs
+++ b/crates/ctl/src/schemas.rs
@@ -1,6 +1,8 @@
 //! JSON Schemas of what is said over HTTP, made from the types that read and write it.
 
 use oatloom_core::operators::Operators;
+use oatloom_graph::answers::{GraphView, JobNodes, SessionView};
+use oatloom_graph::requests::{AddNodes, CreateGraph, OpenSession};
 use oatloom_ledger::query::UsagePage;
 use oatloom_protocol::wire::{
     Catalog, Command, Hire, Hosts, JobSpec, JobView, MachineList, Redirect, Report, ReportAnswer,
@@ -19,6 +21,12 @@
         ("job", of::<JobView>()),
         ("usage", of::<UsagePage>()),
         ("operators", of::<Operators>()),
+        ("session-open", of::<OpenSession>()),
+        ("session", of::<SessionView>()),
+        ("graph-create", of::<CreateGraph>()),
+        ("graph-nodes", of::<AddNodes>()),
+        ("graph", of::<GraphView>()),
+        ("graph-job", of::<JobNodes>()),
         ("report", of::<Report>()),
         ("report-answer", of::<ReportAnswer>()),
         ("command", of::<Command>()),
--- a/crates/ctl/src/suite.rs
+++ b/crates/ctl/src/suite.rs
@@ -6,7 +6,7 @@
 use crate::launch::{LaunchError, Running};
 use crate::settings::{Local, ZONES};
 use crate::usage::Question;
-use crate::users::{Controllers, Told, Wish, judge};
+use oatloom_client::users::{Controllers, Told, Wish, judge};
 use oatloom_emulator::faults::{Fault, Planned, Service, Trouble};
 use oatloom_emulator::timetable;
 use oatloom_emulator::worker::Broken;
--- a/crates/ctl/src/usage.rs
+++ b/crates/ctl/src/usage.rs
@@ -2,9 +2,9 @@
 
 use crate::constants::*;
 use crate::jobs::exit;
-use crate::users::pause;
 use comfy_table::presets::UTF8_HORIZONTAL_ONLY;
 use comfy_table::{CellAlignment, Table};
+use oatloom_client::users::pause;
 use oatloom_ledger::query::{UsagePage, UsageRow};
 use oatloom_web::client::Caller;
 use std::collections::BTreeMap;
--- a/crates/emulator/src/serve.rs
+++ b/crates/emulator/src/serve.rs
@@ -9,12 +9,12 @@
 use crossbeam::channel::{Receiver, Sender, bounded, unbounded};
 use oatloom_protocol::ids::{Mono, Zone};
 use oatloom_protocol::reply::HttpReply;
-use oatloom_protocol::wire::{Command, Hire, Hosts, Report};
+use oatloom_protocol::wire::{Command, Hire, Hosts, JobSpec, Order, Report, ReportAnswer};
 use oatloom_state::limits::Limits;
 use oatloom_web::client::Caller;
 use oatloom_web::server::{self, Answers, Caller as Conn, Incoming};
 use oatloom_web::{StartError, spawn};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -51,6 +51,13 @@
 /// Status and body of a node's answer; `None`: there was none.
 type Said = Option<(u16, Vec<u8>)>;
 
+/// What a worker brings back from a report: what it was told, and the jobs of graphs that it has asked about.
+struct Returned {
+    passage: Passage,
+    said: Said,
+    jobs: Vec<JobSpec>,
+}
+
 /// A worker's address and the thread that sends its reports; both end when this is dropped.
 struct Edge {
     answers: Arc<Answers>,
@@ -62,7 +69,7 @@
     region: Mutex<Region>,
     edges: Mutex<HashMap<String, Edge>>,
     asked: Sender<(String, Incoming<WorkerRequest>)>,
-    returns: Sender<(Passage, Said)>,
+    returns: Sender<Returned>,
     nodes: Vec<Node>,
     pub shared: Shared,
 }
@@ -216,10 +223,12 @@
         let call = |node: &Node| Caller::new(&node.address, REPORT_TIMEOUT_MS, GATE_BYTES);
         let callers: Vec<Caller> = self.nodes.iter().map(call).collect();
         let returns = self.returns.clone();
+        let mut known = BTreeSet::new();
         spawn("reports", move || {
             while let Ok((passage, report)) = queue.recv() {
                 let said = callers[passage.node].post("/v1/report", &report);
-                if returns.send((passage, said)).is_err() {
+                let jobs = fetch(&callers, passage.node, said.as_ref(), &mut known);
+                if returns.send(Returned { passage, said, jobs }).is_err() {
                     return;
                 }
             }
@@ -281,12 +290,13 @@
         answers.send(conn, reply);
     }
 
-    fn run_machines(&self, returned: &Receiver<(Passage, Said)>) {
+    fn run_machines(&self, returned: &Receiver<Returned>) {
         let mut noted = 0;
         loop {
             std::thread::sleep(Duration::from_millis(STEP_MS.0));
             let now = self.shared.now();
-            while let Ok((passage, said)) = returned.try_recv() {
+            while let Ok(Returned { passage, said, jobs }) = returned.try_recv() {
+                jobs.iter().for_each(|job| self.region().upload(job));
                 self.returned(now, &passage, said);
             }
             let sendings = {
@@ -336,6 +346,42 @@
     }
 }
 
+/// Workers are told to run jobs of graphs whose descriptions nobody has uploaded: they ask a controller.
+fn fetch(
+    callers: &[Caller],
+    node: usize,
+    said: Option<&(u16, Vec<u8>)>,
+    known: &mut BTreeSet<String>,
+) -> Vec<JobSpec> {
+    let answer = said.filter(|(status, _)| *status == 200);
+    let answer = answer.and_then(|(_, body)| serde_json::from_slice::<ReportAnswer>(body).ok());
+    let mut jobs = Vec::new();
+    for order in answer.into_iter().flat_map(|answer| answer.orders) {
+        let Order::Run { task, .. } = order else { continue };
+        let Some((job, _)) = task.rsplit_once('/') else { continue };
+        // Ids of 20 digits that begin with a 9 are graphs'.
+        let of_graph = job.len() == 24 && job.starts_with("req-9");
+        if !of_graph || known.contains(job) {
+            continue;
+        }
+        let path = format!("/v2/runs/{job}/nodes");
+        let ask = |caller: &Caller| caller.get(&path).filter(|(status, _)| *status == 200);
+        let found = (0..callers.len()).find_map(|n| ask(&callers[(node + n) % callers.len()]));
+        let described = found.and_then(|(_, body)| serde_json::from_slice::<Described>(&body).ok());
+        if let Some(spec) = described.and_then(|described| described.job) {
+            known.insert(job.to_owned());
+            jobs.push(spec);
+        }
+    }
+    jobs
+}
+
+/// What a controller says of a graph's job, as far as a worker here needs it.
+#[derive(serde::Deserialize)]
+struct Described {
+    job: Option<JobSpec>,
+}
+
 fn bad(text: impl std::fmt::Display) -> HttpReply {
     HttpReply::error(400, &text.to_string())
 }
