--- a/crates/core/src/controller/graphs.rs
+++ b/crates/core/src/controller/graphs.rs
@@ -122,7 +122,11 @@
                 let closed = known.is_some_and(|desk| {
                     desk.ready() && id.is_none_or(|id| desk.graph(id).is_none())
                 });
-                let reply = if leads && closed {
+                // Guards against an end that became durable while its key was being read.
+                let over = id.and_then(|id| Some((id, known?.over(id)?)));
+                let reply = if let Some((id, record)) = over.filter(|_| leads) {
+                    Desk::over_reply(id, &ask, record)
+                } else if leads && closed {
                     Desk::missing_reply(&ask)
                 } else {
                     HttpReply::later("no leader can be reached")
