TLS at oatloom-graphd, with certificates that are read again when they change

Need: keys of sessions must not be readable on the way. Ruled out: the RPC library's own TLS settings, which are read once. Change: rustls; client certificates where an authority is named; handshakes bounded in number and time. Measured: the test replaces a certificate under a running server, well and badly.

--- a/crates/graphd/src/constants.rs
+++ b/crates/graphd/src/constants.rs
@@ -18,6 +18,11 @@
 pub const CALL_MS: Millis = Millis(20_000);
 /// Largest request in bytes: what a controller takes, in another form.
 pub const REQUEST_BYTES: usize = 128 * 1024;
+/// How often it is looked whether certificates have changed.
+pub const RELOAD_MS: Millis = Millis(1_000);
+/// Handshakes at the same time, and how long one may take: a client that says nothing must not keep others out.
+pub const HANDSHAKES: usize = 64;
+pub const HANDSHAKE_MS: Millis = Millis(5_000);
 /// Calls at the same time on one connection.
 pub const CALLS: u32 = 64;
 /// How often it is asked whether controllers answer, for the health service.
--- a/crates/graphd/src/lib.rs
+++ b/crates/graphd/src/lib.rs
@@ -6,6 +6,7 @@
 mod convert;
 pub mod server;
 pub mod service;
+pub mod tls;
 
 /// What the `.proto` makes.
 pub mod wire {
--- a/crates/graphd/src/main.rs
+++ b/crates/graphd/src/main.rs
@@ -3,8 +3,10 @@
 use clap::Parser;
 use oatloom_client::Controllers;
 use oatloom_graphd::server::{ServeError, listen, serve};
+use oatloom_graphd::tls::Files;
 use oatloom_logging::Format;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use tokio::sync::watch;
 
@@ -29,6 +31,15 @@
         value_name = "ADDRESSES"
     )]
     controllers: Vec<SocketAddr>,
+    /// Serve over TLS with this certificate chain (PEM), read again when it changes
+    #[arg(long, requires = "tls_key", value_name = "FILE")]
+    tls_cert: Option<PathBuf>,
+    /// The certificate's key (PEM)
+    #[arg(long, requires = "tls_cert", value_name = "FILE")]
+    tls_key: Option<PathBuf>,
+    /// Serve only clients with a certificate of this authority (PEM)
+    #[arg(long, requires = "tls_cert", value_name = "FILE")]
+    client_ca: Option<PathBuf>,
     /// How the log looks
     #[arg(long, value_enum, default_value_t)]
     log_format: Format,
@@ -41,8 +52,11 @@
     if let Err(e) = ctrlc::set_handler(move || _ = end.send(true)) {
         tracing::warn!("signals are not heeded: {e}");
     }
-    tracing::info!("listening at {}", arguments.listen);
-    serve(listener, &Controllers::new(&addresses), ended)
+    let pair = arguments.tls_cert.clone().zip(arguments.tls_key.clone());
+    let files = pair.map(|(cert, key)| Files { cert, key, client_ca: arguments.client_ca.clone() });
+    let how = if files.is_some() { "TLS" } else { "no TLS" };
+    tracing::info!("listening at {}, {how}", arguments.listen);
+    serve(listener, &Controllers::new(&addresses), files, ended)
 }
 
 fn main() -> ExitCode {
--- a/crates/graphd/src/server.rs
+++ b/crates/graphd/src/server.rs
@@ -3,12 +3,14 @@
 use crate::asker::Asker;
 use crate::constants::*;
 use crate::service::Service;
+use crate::tls::{self, Files};
 use crate::wire::DESCRIPTORS;
 use crate::wire::graphs_server::GraphsServer;
 use oatloom_client::Controllers;
 use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
+use tokio_stream::wrappers::ReceiverStream;
 use tonic::codec::CompressionEncoding;
 use tonic::transport::Server;
 use tonic::transport::server::TcpIncoming;
@@ -23,19 +25,24 @@
     #[error("reflection: {0}")]
     Reflection(#[from] tonic_reflection::server::Error),
     #[error(transparent)]
+    Tls(#[from] tls::TlsError),
+    #[error(transparent)]
     Transport(#[from] tonic::transport::Error),
 }
 
-/// Serves on this thread until `end` says so: calls that are under way go on to their ends, streams are closed.
+/// Serves on this thread until `end` says so: calls that are under way go on to their ends, streams are closed. With
+/// `files`, over TLS only.
 ///
 /// # Errors
 /// It cannot begin, or the transport fails.
 pub fn serve(
     listener: TcpListener,
     controllers: &Controllers,
+    files: Option<Files>,
     mut end: watch::Receiver<bool>,
 ) -> Result<(), ServeError> {
     let asker = Asker::start(controllers)?;
+    let configs = files.map(tls::keep).transpose()?;
     listener.set_nonblocking(true)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(async move {
@@ -61,17 +68,28 @@
                 tokio::time::sleep(Duration::from_millis(HEALTH_MS.0)).await;
             }
         });
-        Server::builder()
+        let end = async move {
+            let _ = end.wait_for(|end| *end).await;
+        };
+        let server = Server::builder()
             .timeout(Duration::from_millis(CALL_MS.0))
             .concurrency_limit_per_connection(CALLS as usize)
             .max_concurrent_streams(CALLS)
             .add_service(health)
             .add_service(reflection)
-            .add_service(service)
-            .serve_with_incoming_shutdown(TcpIncoming::from(listener), async move {
-                let _ = end.wait_for(|end| *end).await;
-            })
-            .await?;
+            .add_service(service);
+        match configs {
+            Some(configs) => {
+                let (out, streams) = mpsc::channel(BUFFER);
+                tokio::spawn(tls::accept(listener, configs, out));
+                let streams = ReceiverStream::new(streams);
+                server.serve_with_incoming_shutdown(streams, end).await?;
+            }
+            None => {
+                let streams = TcpIncoming::from(listener);
+                server.serve_with_incoming_shutdown(streams, end).await?;
+            }
+        }
         Ok(())
     })
 }
--- a/crates/graphd/tests/grpc.rs
+++ b/crates/graphd/tests/grpc.rs
@@ -3,6 +3,7 @@
 use oatloom_client::Controllers;
 use oatloom_graphd::server::serve;
 use oatloom_graphd::service::status_of;
+use oatloom_graphd::tls::Files;
 use oatloom_graphd::wire::graphs_client::GraphsClient;
 use oatloom_graphd::wire::{
     AddNodesRequest, GetGraphRequest, Kind, NewNode, OpenSessionRequest, WatchGraphRequest,
@@ -12,7 +13,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::watch;
-use tonic::transport::Channel;
+use tonic::transport::{Certificate, Channel, ClientTlsConfig, Identity};
 use tonic::{Code, Request};
 
 type Seen = Arc<Mutex<Vec<String>>>;
@@ -44,13 +45,20 @@
     (address, seen)
 }
 
-/// The server in front of these controllers, and what ends it.
-fn start(controllers: &[String]) -> (SocketAddr, watch::Sender<bool>, std::thread::JoinHandle<()>) {
+/// Where the server is, what ends it, and its thread.
+type Started = (SocketAddr, watch::Sender<bool>, std::thread::JoinHandle<()>);
+
+/// The server in front of these controllers.
+fn start(controllers: &[String]) -> Started {
+    start_with(controllers, None)
+}
+
+fn start_with(controllers: &[String], files: Option<Files>) -> Started {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let controllers = Controllers::new(controllers);
     let (end, ended) = watch::channel(false);
-    let thread = std::thread::spawn(move || serve(listener, &controllers, ended).unwrap());
+    let thread = std::thread::spawn(move || serve(listener, &controllers, files, ended).unwrap());
     (address, end, thread)
 }
 
@@ -176,6 +184,73 @@
     thread.join().unwrap();
 }
 
+/// A certificate of its own authority and its key, as PEM.
+fn certificate() -> (String, String) {
+    let made = rcgen::generate_simple_self_signed(vec!["localhost".to_owned()]).unwrap();
+    (made.cert.pem(), made.signing_key.serialize_pem())
+}
+
+async fn secure(
+    address: SocketAddr,
+    trusts: &str,
+    shows: Option<&(String, String)>,
+) -> Result<u32, String> {
+    let mut tls = ClientTlsConfig::new()
+        .ca_certificate(Certificate::from_pem(trusts))
+        .domain_name("localhost");
+    if let Some((cert, key)) = shows {
+        tls = tls.identity(Identity::from_pem(cert, key));
+    }
+    let endpoint = Channel::from_shared(format!("https://{address}")).unwrap().tls_config(tls);
+    let channel = endpoint.unwrap().connect().await.map_err(|e| e.to_string())?;
+    let get = GetGraphRequest { graph: "graph-1".into() };
+    let answer = GraphsClient::new(channel).get_graph(get).await.map_err(|e| e.to_string())?;
+    Ok(answer.into_inner().nodes)
+}
+
+/// Over TLS only those who trust the server's certificate get through, and, where that is asked, those with one of the
+/// right authority. A certificate that is replaced is taken up; what replaces it badly is not.
+#[test]
+fn certificates_are_asked_for_and_renewed() {
+    let (address, _) = controller(|_, _, _| (200, view("open", "", false)));
+    let folder = tempfile::tempdir().unwrap();
+    let [cert, key, ca] = ["cert", "key", "ca"].map(|name| folder.path().join(name));
+    let (first, second, client) = (certificate(), certificate(), certificate());
+    std::fs::write(&cert, &first.0).unwrap();
+    std::fs::write(&key, &first.1).unwrap();
+    std::fs::write(&ca, &client.0).unwrap();
+    let files = Files { cert: cert.clone(), key: key.clone(), client_ca: Some(ca) };
+    let (grpc, end, thread) = start_with(&[address], Some(files));
+    runtime().block_on(async {
+        assert_eq!(secure(grpc, &first.0, Some(&client)).await, Ok(1));
+        assert!(secure(grpc, &first.0, None).await.is_err(), "no certificate was shown");
+        assert!(secure(grpc, &first.0, Some(&second)).await.is_err(), "a stranger's was shown");
+        assert!(
+            secure(grpc, &second.0, Some(&client)).await.is_err(),
+            "the server's is not trusted"
+        );
+        let plain = GraphsClient::connect(format!("http://{grpc}")).await;
+        let get = GetGraphRequest { graph: "graph-1".into() };
+        let answered = match plain {
+            Ok(mut client) => client.get_graph(get).await.is_ok(),
+            Err(_) => false,
+        };
+        assert!(!answered, "without TLS");
+        std::fs::write(&cert, "not a certificate").unwrap();
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        assert_eq!(secure(grpc, &first.0, Some(&client)).await, Ok(1), "the last good one stays");
+        std::fs::write(&cert, &second.0).unwrap();
+        std::fs::write(&key, &second.1).unwrap();
+        let began = std::time::Instant::now();
+        while secure(grpc, &second.0, Some(&client)).await.is_err() {
+            assert!(began.elapsed() < Duration::from_secs(20), "the new one is not taken up");
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    });
+    end.send(true).unwrap();
+    thread.join().unwrap();
+}
+
 /// What controllers refuse for good is told apart from what may be asked again.
 #[test]
 fn statuses_are_those_that_users_expect() {
