--- a/crates/graph/src/lib.rs
+++ b/crates/graph/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod desk;
 pub mod ids;
 pub mod limits;
+pub mod live;
 pub mod model;
 pub mod paths;
 pub mod records;
@@ -15,6 +16,5 @@
 pub mod sessions;
 
 mod launching;
-mod live;
 mod loading;
 mod writing;
--- /dev/null
+++ b/crates/graph/tests/damaged.rs
@@ -0,0 +1,215 @@
+//! Requests and stored records with bytes changed at random: nothing panics, and what is damaged of one graph ends that
+//! graph alone.
+
+use oatloom_graph::answers::GraphView;
+use oatloom_graph::desk::{Around, Desk, Ended, Read, Verdict};
+use oatloom_graph::ids::{GraphId, Seq};
+use oatloom_graph::limits::Limits;
+use oatloom_graph::live::{Phase, Why};
+use oatloom_graph::model::{Model, Room};
+use oatloom_graph::records::{
+    GRAPHS, Head, Page, Part, PartEnd, SESSIONS, head_key, over_key, page_key, session_key,
+};
+use oatloom_graph::requests::{AddNodes, Ask, Look, OnFailure, check};
+use oatloom_graph::sessions::hash_key;
+use oatloom_protocol::ids::{Mono, Now, Revision, Token};
+use oatloom_protocol::wire::{Change, Condition, JobStatus, Rank, Row};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+
+const ROOM: Room = Room { value: 8_192, values: 14 };
+
+fn addition(names: &str) -> AddNodes {
+    let node = |n: u32, needs: &[u32]| {
+        let needs: Vec<String> = needs.iter().map(|n| format!("{names}{n}")).collect();
+        json!({"name": format!("{names}{n}"), "kind": if n == 2 { "crew" } else { "k" }, "needs": needs, "shards": 1 + n / 2})
+    };
+    serde_json::from_value(json!({"key": "secret-1", "addition": "a", "seal": true,
+        "kinds": {"k": {"num_cpus": 1.0, "expectS": 3.0}, "crew": {"shape": "gang", "num_cpus": 1.0, "max_retries": 2}},
+        "nodes": [node(0, &[]), node(1, &[0]), node(2, &[0, 1]), node(3, &[]), node(4, &[3, 2])]}))
+    .expect("an addition")
+}
+
+fn graph(number: u64) -> GraphId {
+    GraphId::parse(&format!("graph-{number}")).expect("an id")
+}
+
+/// Two graphs as they stand in the state service.
+fn stored() -> BTreeMap<String, Value> {
+    let mut rows = BTreeMap::new();
+    let key = hash_key("secret-1");
+    rows.insert(session_key("s"), json!({"k": key, "o": "red", "t": 20_000}));
+    for number in 1..3 {
+        let head = Head {
+            session: "s".into(),
+            key: key.clone(),
+            owner: "red".into(),
+            class: "c".into(),
+            rank: Rank::High,
+            due_s: Some(60.0),
+            on_failure: OnFailure::FinishIndependent,
+            detached: false,
+            wall_ms: 1_000,
+            cancelled: false,
+        };
+        rows.insert(head_key(graph(number)), json!(head));
+        let pages = Model::default().prepare(&addition("n"), 7, ROOM).expect("a graph").pages;
+        for (page, value) in pages.iter().enumerate() {
+            rows.insert(page_key(graph(number), page as u32), json!(value));
+        }
+    }
+    rows
+}
+
+/// Changes some bytes of a value's text; what is no JSON any more stands as the text it became.
+fn damage(value: &Value, rng: &mut ChaCha8Rng) -> Value {
+    let mut text = value.to_string().into_bytes();
+    for _ in 0..rng.random_range(1..4) {
+        let at = rng.random_range(0..text.len());
+        match rng.random_range(0..4) {
+            0 => text[at] = rng.random_range(b' '..b'~'),
+            1 => _ = text.remove(at),
+            2 => text.insert(at, b'9'),
+            _ => text.swap(at, 0),
+        }
+        if text.is_empty() {
+            break;
+        }
+    }
+    let text = String::from_utf8_lossy(&text).into_owned();
+    serde_json::from_str(&text).unwrap_or(Value::String(text))
+}
+
+fn rows(stored: &BTreeMap<String, Value>, prefix: &str) -> Vec<Row> {
+    let of = stored.iter().filter(|(key, _)| key.starts_with(prefix));
+    let row = |(key, value): (&String, &Value)| Row {
+        key: key.clone(),
+        value: value.clone(),
+        version: Revision(3),
+        lease: None,
+    };
+    of.map(row).collect()
+}
+
+/// A new leader reads what is stored; `ended`: how jobs ended.
+fn load(stored: &BTreeMap<String, Value>, ended: Vec<Ended>) -> Desk {
+    let now = Now { mono: Mono(50_000), wall_ms: 60_000 };
+    let mut desk = Desk::new(Limits::default(), Token(9), ROOM, now.mono);
+    let mut ended = Some(ended);
+    while let Some(read) = desk.next_read() {
+        match read {
+            Read::Key(_) => desk.read_count(Revision(2)),
+            Read::List { prefix, .. } => {
+                assert!(prefix == SESSIONS || prefix == GRAPHS);
+                desk.read_rows(rows(stored, &prefix), false, now);
+            }
+            Read::Ended { .. } => {
+                desk.read_ended(ended.take().unwrap_or_default(), None, &|_| Vec::new(), now.mono);
+            }
+        }
+    }
+    desk
+}
+
+/// Writes until there is nothing more, as a state service that takes everything; jobs are over at once.
+fn settle(desk: &mut Desk) -> BTreeMap<String, Value> {
+    let mut written = BTreeMap::new();
+    for turn in 0..200u64 {
+        let fence = Condition { key: "lead".into(), version: Revision(9) };
+        let now = Now { mono: Mono(51_000 + turn), wall_ms: 61_000 + turn };
+        let live = |launch: &oatloom_graph::desk::Launch| {
+            (format!("live/{}", launch.id()), format!("over/{}", launch.id()), json!(launch.part))
+        };
+        let Some((txn, wrote)) = desk.next_txn(fence, 16, now, &live) else { break };
+        for change in &txn.changes {
+            if let Change::Put { key, value, .. } = change {
+                written.insert(key.clone(), value.clone());
+            }
+        }
+        desk.committed(&wrote, Revision(100 + turn));
+        for effect in desk.take_effects() {
+            if let oatloom_graph::desk::Effect::Admit(launch, _) = effect {
+                let end = PartEnd {
+                    nodes: launch.part.nodes.clone(),
+                    done: Vec::new(),
+                    charged: Vec::new(),
+                };
+                desk.job_over(launch.id(), &end, JobStatus::Done, None);
+            }
+        }
+    }
+    written
+}
+
+#[test]
+fn damaged_records_end_their_graph_alone() {
+    let mut rng = ChaCha8Rng::seed_from_u64(11);
+    let (mut ended_alone, mut harmless) = (0, 0);
+    for _ in 0..1_500 {
+        let mut records = stored();
+        let keys: Vec<String> =
+            records.keys().filter(|key| key.contains(&graph(1).digits())).cloned().collect();
+        let key = &keys[rng.random_range(0..keys.len())];
+        let bad = damage(&records[key], &mut rng);
+        records.insert(key.clone(), bad);
+        let mut desk = load(&records, Vec::new());
+        let stopped = desk.graph(graph(1)).is_some_and(|live| {
+            matches!(&live.phase, Phase::Stopping(Why::Damaged(_)) | Phase::Ending(Why::Damaged(_)))
+        });
+        let written = settle(&mut desk);
+        let over = &written[&over_key(graph(2))];
+        assert_eq!((&over["s"], &over["n"]), (&json!("done"), &json!(5)), "{key}: the other graph");
+        if stopped {
+            ended_alone += 1;
+            let over = &written[&over_key(graph(1))];
+            assert_eq!(over["s"], json!("cancelled"));
+            assert!(over["w"].as_str().is_some_and(|why| why.contains("damaged")), "{over}");
+        } else {
+            harmless += 1;
+        }
+    }
+    println!("{ended_alone} graphs ended by damage, {harmless} went on");
+    assert!(ended_alone > 500 && harmless > 100);
+}
+
+#[test]
+fn damaged_ends_of_jobs_and_requests_do_no_harm() {
+    let mut rng = ChaCha8Rng::seed_from_u64(12);
+    let end = json!({"n": [[0, 2], [3, 1]], "d": [0, 2], "c": [[1, 3]]});
+    let add = json!(addition("m"));
+    for _ in 0..3_000 {
+        let read = serde_json::from_value::<PartEnd>(damage(&end, &mut rng));
+        let status =
+            [JobStatus::Done, JobStatus::Failed, JobStatus::Cancelled][rng.random_range(0..3)];
+        let ended = read.map(|end| Ended { id: graph(1).job(Seq(4)), end, status, failure: None });
+        let mut desk = load(&stored(), ended.into_iter().collect());
+        let around = Around { unfit: &|_| None, team: &|_| true };
+        if let Ok(add) = serde_json::from_value::<AddNodes>(damage(&add, &mut rng)) {
+            let sound = check(&add).is_ok();
+            let now = Now { mono: Mono(50_500), wall_ms: 60_500 };
+            let verdict = desk.ask(now, 1, &Ask::Add(graph(2), add), &around);
+            // The graph is sealed: nothing may come to it.
+            let Verdict::Reply(reply) = verdict else { panic!("taken") };
+            assert!(
+                (400..500).contains(&reply.status) && sound == (reply.status != 400),
+                "{reply:?}"
+            );
+        }
+        if let Ok(part) = serde_json::from_value::<Part>(damage(&end, &mut rng)) {
+            let _ = (part.batch(), part.node(0), part.node(u32::MAX));
+        }
+        let now = Now { mono: Mono(50_600), wall_ms: 60_600 };
+        let look = Look { after: "9.99999999999".into(), most: 3 };
+        if let Verdict::Reply(reply) = desk.ask(now, 1, &Ask::Look(graph(1), look), &around) {
+            let view: GraphView = serde_json::from_str(&reply.body).expect("a view");
+            assert!(view.changed.len() <= 3);
+        }
+        settle(&mut desk);
+    }
+    let page: Result<Page, _> = serde_json::from_value(
+        json!({"q": "a", "h": 1, "b": 4_294_967_295u32, "n": [["x", 0, 1, []]]}),
+    );
+    assert!(Model::default().apply(&page.expect("readable"), 1).is_err());
+}
--- a/tests/graphs.rs
+++ b/tests/graphs.rs
@@ -4,6 +4,10 @@
 #[allow(dead_code)]
 mod world;
 
+use oatloom_ledger::entry::Entry;
+use oatloom_protocol::ids::JobId;
+use oatloom_protocol::wire::JobStatus;
+use std::collections::{BTreeMap, BTreeSet};
 use world::{Fault, World};
 
 const ON: &str =
@@ -131,3 +135,67 @@
     println!("{tally:?}");
     assert!(tally.starts > 100, "{tally:?}");
 }
+
+/// What of an entry does not depend on ids, on where it ran, or on how long it waited there.
+fn plain(entry: &Entry) -> String {
+    let Entry { team, class, shape, rank, ran_ms, unseen_ms, end, stored, goes_on, .. } = entry;
+    let Entry { checkpoint_ms, cpus, gpus, memory_gb, .. } = entry;
+    format!(
+        "{team} {class} {shape:?} {rank:?} {ran_ms} {unseen_ms} {end:?} {stored} {goes_on} {checkpoint_ms} {cpus} {gpus} \
+         {memory_gb}"
+    )
+}
+
+fn accounted(world: &World) -> Vec<String> {
+    let mut entries: Vec<String> = world.entries.iter().map(|(_, _, entry)| plain(entry)).collect();
+    entries.sort();
+    entries
+}
+
+/// The same work as a graph, and as ordinary jobs that their user submits one after the other as their inputs are done:
+/// the account has the same entries.
+#[test]
+fn both_ways_are_accounted_alike() {
+    let add = serde_json::json!({"key": "secret-1", "addition": "all", "seal": true, "kinds": {
+            "map": {"num_cpus": 2, "num_gpus": 1, "memory": 8e9, "expectS": 3, "bundle": "img-1", "pullGb": 1},
+            "crew": {"shape": "gang", "num_cpus": 2, "num_gpus": 1, "memory": 8e9, "expectS": 5, "snapshotS": 2},
+            "near": {"strategy": "STRICT_PACK", "num_cpus": 1, "num_gpus": 1, "memory": 4e9, "expectS": 4}},
+        "nodes": [{"name": "a", "kind": "map"}, {"name": "b", "kind": "map"}, {"name": "c", "kind": "map", "shards": 3},
+            {"name": "d", "kind": "crew", "needs": ["a", "b"], "shards": 2}, {"name": "e", "kind": "near", "needs": ["c"],
+            "shards": 2}, {"name": "f", "kind": "map", "needs": ["d", "e"]}]});
+    let settings = "((graphs . #t) (ledger . #t))";
+    let mut graph = World::scripted(5, Vec::new(), 20_000, None);
+    graph.alone();
+    graph.limit(settings);
+    graph.clients.add_one("quick", serde_json::from_value(add).expect("an addition"));
+    graph.play_to(120_000);
+    assert!(graph.region.checker.broken.is_empty(), "{:#?}", graph.region.checker.broken);
+    assert_eq!((graph.clients.done, &graph.clients.broken), (1, &Vec::new()));
+    let inputs = graph.clients.inputs();
+    // Their ids as jobs of a user.
+    let own: BTreeMap<&String, String> =
+        inputs.keys().enumerate().map(|(n, job)| (job, format!("req-{n}"))).collect();
+
+    let mut plain = World::scripted(5, Vec::new(), 20_000, None);
+    plain.alone();
+    plain.limit(settings);
+    let mut submitted = BTreeSet::new();
+    while plain.now < 120_000 {
+        for (job, needs) in &inputs {
+            let done =
+                |input: &String| plain.region.checker.over(&own[input]) == Some(JobStatus::Done);
+            if !submitted.contains(job) && plain.now > 1_000 && needs.iter().all(done) {
+                submitted.insert(job.clone());
+                let spec = graph.region.outside.specs[job].clone();
+                plain
+                    .add_job(oatloom_protocol::wire::JobSpec { id: JobId::new(&own[job]), ..spec });
+            }
+        }
+        plain.step();
+    }
+    assert!(plain.region.checker.broken.is_empty(), "{:#?}", plain.region.checker.broken);
+    assert_eq!(plain.told(JobStatus::Done), inputs.len());
+    let (as_graph, as_jobs) = (accounted(&graph), accounted(&plain));
+    assert!(as_graph.len() >= 9, "{as_graph:#?}");
+    assert_eq!(as_graph, as_jobs);
+}
--- a/tests/world/graphs.rs
+++ b/tests/world/graphs.rs
@@ -147,6 +147,64 @@
         }
     }
 
+    /// Adds one client with this graph, who stays to its end.
+    pub fn add_one(&mut self, class: &str, add: AddNodes) -> GraphId {
+        let (session, key) = ("s-1".to_owned(), add.key.clone());
+        let graph = GraphId::parse("graph-1").expect("an id");
+        let open = OpenSession {
+            session: session.clone(),
+            key: key.clone(),
+            owner: "red".into(),
+            ttl_s: 20.0,
+        };
+        let create = CreateGraph {
+            graph,
+            session: session.clone(),
+            key: key.clone(),
+            jobclass: class.into(),
+            rank: Rank::Standard,
+            due_s: None,
+            on_failure: OnFailure::CancelRest,
+            detached: false,
+        };
+        self.clients.push(Client {
+            temper: Temper::Steady,
+            from: 1_000,
+            session,
+            key,
+            graph,
+            detached: false,
+            script: vec![Ask::Open(open), Ask::Create(create), Ask::Add(graph, add)],
+            asked: BTreeMap::new(),
+            next: 1_000,
+            next_beat: 1_000,
+            rounds: [0; 2],
+            position: String::new(),
+            open: false,
+            finals: BTreeMap::new(),
+            over: None,
+        });
+        graph
+    }
+
+    /// Each job of graphs with those that made its inputs.
+    pub fn inputs(&self) -> BTreeMap<String, BTreeSet<String>> {
+        let maker = |graph: GraphId, at: NodeIx| {
+            let mut jobs = self.parts.keys();
+            jobs.find(|job| (0..400).any(|task| self.node_of(job, task) == Some((graph, at))))
+                .cloned()
+        };
+        let inputs = |job: &String| {
+            let graph =
+                GraphId::of_job(&oatloom_protocol::ids::JobId::new(job)).map(|(graph, _)| graph);
+            let nodes = self.parts[job].nodes.iter(400);
+            let needs = nodes.filter_map(|at| Some(self.nodes.get(&graph?)?.get(&at)?.1.clone()));
+            let needs: Vec<NodeIx> = needs.flatten().collect();
+            needs.into_iter().filter_map(|at| maker(graph?, at)).collect()
+        };
+        self.parts.keys().map(|job| (job.clone(), inputs(job))).collect()
+    }
+
     /// All clients are gone at this moment and for ever.
     pub fn vanish(&mut self, at: u64) {
         self.clients.iter_mut().for_each(|client| client.temper = Temper::Vanishes(at));
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -373,6 +373,20 @@
         self.faults.sort_by_key(|(at, _)| *at);
     }
 
+    /// No user ever comes but those that are added.
+    pub fn alone(&mut self) {
+        self.users.clear();
+    }
+
+    /// A user with this job comes now.
+    pub fn add_job(&mut self, spec: JobSpec) {
+        self.region.outside.specs.insert(spec.id.to_string(), spec.clone());
+        let (at, give_up) = (self.now, self.now + 60_000);
+        let user =
+            User { spec, at, give_up, next: at, accepted: false, abort_at: None, aborted: false };
+        self.users.push(user);
+    }
+
     /// A user who never comes.
     pub fn drop_user(&mut self, job: &str) {
         self.users.retain(|user| user.spec.id.as_str() != job);
