Read again: one retry loop for clients, one reader of JSON files, one review of a graph

Ruled out: the emulator's own test for ids of graphs' jobs, since it must not know how controllers decide. A client of graphs that reaches no controller now passes over to the next at once and then waits a second, where it waited half a second each time.

--- a/crates/client/src/graphs.rs
+++ b/crates/client/src/graphs.rs
@@ -1,7 +1,7 @@
 //! Task graphs: a session that is kept alive while it is held, graphs that are added to in pages, and their progress.
 
 use crate::constants::*;
-use crate::users::{Controllers, pause};
+use crate::users::Controllers;
 use oatloom_graph::answers::{GraphView, NodeView, SessionView};
 use oatloom_graph::ids::GraphId;
 use oatloom_graph::requests::{
@@ -33,41 +33,33 @@
     Thread(#[from] std::io::Error),
 }
 
-/// Asks one controller after the other until there is an answer that counts.
+/// Asks until there is an answer that counts. Controllers of which none was ever reached are tried as long: a session and
+/// a watch outlast a restart of all.
 fn insist<T: DeserializeOwned>(
     controllers: &mut Controllers,
     (method, path): (&str, &str),
     body: &impl Serialize,
     patience: Millis,
 ) -> Result<T, GraphError> {
-    let began = Instant::now();
     let body = if method == "GET" {
         Vec::new()
     } else {
         serde_json::to_vec(body).map_err(|e| GraphError::Unreadable(e.to_string()))?
     };
-    loop {
-        let answer = controllers.ask_next(method, path, &body);
-        if let Some(Answer { status, body, .. }) = &answer {
-            match status {
-                200 | 201 => {
-                    return serde_json::from_slice(body)
-                        .map_err(|e| GraphError::Unreadable(e.to_string()));
-                }
-                400..=428 | 430..=499 => {
-                    let said: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
-                    let text = said["error"].as_str().unwrap_or_default().to_owned();
-                    return Err(GraphError::Refused { status: *status, text });
-                }
-                _ => {}
-            }
+    let judge = |Answer { status, body, .. }: &Answer| match status {
+        200 | 201 => {
+            let read = serde_json::from_slice(body);
+            Some(read.map_err(|e| GraphError::Unreadable(e.to_string())))
         }
-        let rest = if answer.is_none() { LOOK_EVERY_MS } else { pause(answer.as_ref()) };
-        if began.elapsed() + Duration::from_millis(rest.0) >= Duration::from_millis(patience.0) {
-            return Err(GraphError::NoAnswer(patience.0 / 1000));
+        400..=428 | 430..=499 => {
+            let said: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
+            let text = said["error"].as_str().unwrap_or_default().to_owned();
+            Some(Err(GraphError::Refused { status: *status, text }))
         }
-        std::thread::sleep(Duration::from_millis(rest.0));
-    }
+        _ => None,
+    };
+    let told = controllers.retry((method, path, &body), patience, patience, judge);
+    told.unwrap_or(Err(GraphError::NoAnswer(patience.0 / 1000)))
 }
 
 /// A session, kept alive by a thread of its own until it is closed, dropped, or its process ends: then what is not
--- a/crates/client/src/users.rs
+++ b/crates/client/src/users.rs
@@ -18,6 +18,15 @@
     Unreachable,
 }
 
+/// Why asking again and again came to nothing.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Unanswered {
+    /// No answer that counts; the last one.
+    Nothing(String),
+    /// No controller could be reached at all.
+    Unreachable,
+}
+
 /// What is asked about a job.
 #[derive(Clone, Debug)]
 pub enum Wish {
@@ -93,27 +102,51 @@
 
     /// Asks one controller, once.
     pub fn ask(&self, at: usize, wish: &Wish) -> Option<Answer> {
-        let callers = if matches!(wish, Wish::View(_)) { &self.polls } else { &self.submits };
         let (method, path, body) = wish.request();
-        callers[at % callers.len()].ask(method, &path, &body)
+        self.call(at, method, &path, &body)
+    }
+
+    fn call(&self, at: usize, method: &str, path: &str, body: &[u8]) -> Option<Answer> {
+        let callers = if method == "GET" { &self.polls } else { &self.submits };
+        callers.get(at % callers.len().max(1))?.ask(method, path, body)
     }
 
     /// Asks the next controller, once.
     pub fn ask_next(&mut self, method: &str, path: &str, body: &[u8]) -> Option<Answer> {
-        let callers = if method == "GET" { &self.polls } else { &self.submits };
+        let answer = self.call(self.next, method, path, body);
         self.next += 1;
-        callers.get((self.next - 1) % callers.len().max(1))?.ask(method, path, body)
+        answer
     }
 
     /// Asks until there is an answer that counts, or the time is up.
     pub fn insist(&mut self, wish: &Wish, patience: Millis) -> Told {
+        let (method, path, body) = wish.request();
+        let counts = |answer: &Answer| judge(wish, answer);
+        match self.retry((method, &path, &body), patience, UNREACHABLE_MS, counts) {
+            Ok(told) => told,
+            Err(Unanswered::Nothing(last)) => Told::Nothing(last),
+            Err(Unanswered::Unreachable) => Told::Unreachable,
+        }
+    }
+
+    /// Asks one controller after the other until `judge` makes something of an answer. `unreachable`: how long they are
+    /// tried while none was ever reached.
+    ///
+    /// # Errors
+    /// No answer counted in time.
+    pub fn retry<T>(
+        &mut self,
+        (method, path, body): (&str, &str, &[u8]),
+        patience: Millis,
+        unreachable: Millis,
+        judge: impl Fn(&Answer) -> Option<T>,
+    ) -> Result<T, Unanswered> {
         let began = Instant::now();
         let mut last = None;
         loop {
-            let answer = self.ask(self.next, wish);
-            self.next += 1;
-            if let Some(told) = answer.as_ref().and_then(|answer| judge(wish, answer)) {
-                return told;
+            let answer = self.ask_next(method, path, body);
+            if let Some(told) = answer.as_ref().and_then(&judge) {
+                return Ok(told);
             }
             if let Some(answer) = &answer {
                 last = Some(format!("{} {}", answer.status, String::from_utf8_lossy(&answer.body)));
@@ -123,9 +156,9 @@
             let rest = if answer.is_none() && !round { Millis(0) } else { pause(answer.as_ref()) };
             let waited = began.elapsed().as_millis() as u64 + rest.0;
             match last.take_if(|_| waited >= patience.0) {
-                Some(last) => return Told::Nothing(last),
-                None if last.is_none() && waited >= patience.0.min(UNREACHABLE_MS.0) => {
-                    return Told::Unreachable;
+                Some(last) => return Err(Unanswered::Nothing(last)),
+                None if last.is_none() && waited >= patience.0.min(unreachable.0) => {
+                    return Err(Unanswered::Unreachable);
                 }
                 None => {}
             }
--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -70,9 +70,9 @@
     let rest = path.strip_prefix("/v2/")?;
     let parts: Vec<&str> = rest.split('/').collect();
     let graph = |id: &str| GraphId::parse(id).ok_or_else(|| HttpReply::error(404, "no such graph"));
-    let number = |name: &str| {
-        let given = question.split('&').filter_map(|pair| pair.split_once('='));
-        given.filter(|(known, _)| *known == name).find_map(|(_, value)| value.parse().ok())
+    let given = |name: &str| {
+        let mut pairs = question.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(known, _)| *known == name).map(|(_, value)| value)
     };
     let ask = match (method, parts.as_slice()) {
         ("POST", ["sessions"]) => read(body).map(Ask::Open),
@@ -90,12 +90,15 @@
             graph(id).and_then(|id| read(body).map(|keyed| Ask::Cancel(id, keyed)))
         }
         ("GET", ["graphs", id]) => graph(id).map(|id| {
-            let after = question.split('&').find_map(|pair| pair.strip_prefix("after="));
-            let most = number("most").unwrap_or(ANSWER_NODES).min(ANSWER_NODES);
-            Ask::Look(id, Look { after: after.unwrap_or_default().to_owned(), most })
+            let after = given("after").unwrap_or_default().to_owned();
+            let most = given("most").and_then(|n| n.parse().ok()).unwrap_or(ANSWER_NODES);
+            Ask::Look(id, Look { after, most: most.min(ANSWER_NODES) })
         }),
         ("GET", ["runs", id, "nodes"]) => match JobId::parse(id) {
-            Some(id) => Ok(Ask::Job(id, number("after").map_or(0, |n| n as u32))),
+            Some(id) => {
+                let after = given("after").and_then(|n| n.parse().ok()).unwrap_or(0);
+                Ok(Ask::Job(id, after))
+            }
             None => Err(HttpReply::error(404, "no such job")),
         },
         (_, ["sessions"] | ["sessions", _, "beat" | "close"] | ["graphs"])
--- a/crates/core/src/controller/graphs.rs
+++ b/crates/core/src/controller/graphs.rs
@@ -26,13 +26,13 @@
     rows: Vec<Option<Row>>,
 }
 
+fn record_of(launch: Launch) -> LiveRecord {
+    let Launch { spec, wall_ms, part, .. } = launch;
+    LiveRecord { spec, wall_ms, part: Some(part.into()) }
+}
+
 fn live_of(launch: &Launch) -> (String, String, Value) {
-    let record = LiveRecord {
-        spec: launch.spec.clone(),
-        wall_ms: launch.wall_ms,
-        part: Some(launch.part.clone().into()),
-    };
-    let value = serde_json::to_value(record).unwrap_or(Value::Null);
+    let value = serde_json::to_value(record_of(launch.clone())).unwrap_or(Value::Null);
     (jobs::live_key(launch.id()), jobs::over_key(launch.id()), value)
 }
 
@@ -86,7 +86,7 @@
                 };
                 self.reply(conn, reply);
             }
-            Verdict::NotOpen(_) => self.look_graph(now.mono, conn, ask),
+            Verdict::NotOpen => self.look_graph(now.mono, conn, ask),
         }
         self.graph_effects(now);
     }
@@ -190,9 +190,7 @@
                 match effect {
                     Effect::Reply { ticket, reply } => self.reply(ConnId(ticket), reply),
                     Effect::Admit(launch, stamp) => {
-                        let Launch { spec, wall_ms, part, .. } = *launch;
-                        let record = LiveRecord { spec, wall_ms, part: Some(part.into()) };
-                        self.admit(now, record, stamp);
+                        self.admit(now, record_of(*launch), stamp);
                     }
                     Effect::Cancel(id) => {
                         if let Some(reign) = self.reign.as_mut() {
--- a/crates/ctl/src/graphs.rs
+++ b/crates/ctl/src/graphs.rs
@@ -1,7 +1,7 @@
 //! Task graphs from the command line.
 
 use crate::constants::*;
-use crate::jobs::exit;
+use crate::jobs::{exit, read_json};
 use comfy_table::Table;
 use comfy_table::presets::NOTHING;
 use oatloom_client::graphs::{self, GraphError, Plan};
@@ -16,7 +16,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Deserialize;
 use std::collections::BTreeMap;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 /// A graph as a file describes it.
 #[derive(Clone, Debug, Deserialize)]
@@ -105,11 +105,9 @@
 ///
 /// # Errors
 /// It cannot be read, is not JSON, or says something that makes no sense by itself.
-pub fn read(path: &PathBuf) -> Result<GraphFile, Failure> {
-    let wrong = |e: &dyn std::fmt::Display| Failure::Wrong(format!("{}: {e}", path.display()));
-    let text = std::fs::read_to_string(path).map_err(|e| wrong(&e))?;
-    let file: GraphFile = serde_json::from_str(&text).map_err(|e| wrong(&e))?;
-    check(&addition(&file)).map_err(|e| wrong(&e))?;
+pub fn read(path: &Path) -> Result<GraphFile, Failure> {
+    let file: GraphFile = read_json(path).map_err(Failure::Wrong)?;
+    check(&addition(&file)).map_err(|e| Failure::Wrong(format!("{}: {e}", path.display())))?;
     Ok(file)
 }
 
--- a/crates/ctl/src/jobs.rs
+++ b/crates/ctl/src/jobs.rs
@@ -5,8 +5,9 @@
 use oatloom_client::users::{Controllers, Told, Wish};
 use oatloom_protocol::ids::JobId;
 use oatloom_protocol::wire::{JobSpec, JobStatus, JobView, Rank, Shape};
+use serde::de::DeserializeOwned;
 use std::io::IsTerminal;
-use std::path::PathBuf;
+use std::path::Path;
 use std::time::Duration;
 
 /// Statuses of the program.
@@ -118,15 +119,23 @@
     }
 }
 
-/// Reads a job's file.
+/// Reads a file of JSON.
 ///
 /// # Errors
-/// It cannot be read, is not JSON, or describes no job; the text says what is wrong.
-pub fn read(path: &PathBuf) -> Result<JobSpec, String> {
+/// It cannot be read, is not JSON, or describes something else; the text says what is wrong.
+pub(crate) fn read_json<T: DeserializeOwned>(path: &Path) -> Result<T, String> {
     let name = path.display();
     let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: cannot be read: {e}"))?;
-    let spec: JobSpec = serde_json::from_str(&text).map_err(|e| format!("{name}: {e}"))?;
-    spec.check().map_err(|e| format!("{name}: {e}"))?;
+    serde_json::from_str(&text).map_err(|e| format!("{name}: {e}"))
+}
+
+/// Reads a job's file.
+///
+/// # Errors
+/// It cannot be read, is not JSON, or describes no job; the text says what is wrong.
+pub fn read(path: &Path) -> Result<JobSpec, String> {
+    let spec: JobSpec = read_json(path)?;
+    spec.check().map_err(|e| format!("{}: {e}", path.display()))?;
     Ok(spec)
 }
 
--- a/crates/graph/src/constants.rs
+++ b/crates/graph/src/constants.rs
@@ -1,5 +1,7 @@
 //! Every constant of graphs and sessions, with its unit and the reason for its value.
 
+use oatloom_protocol::ids::Millis;
+
 /// Graph numbers lie below this: with it a node's job id keeps the 20 digits that ids may have.
 pub const GRAPHS_END: u64 = 10_000_000_000;
 /// Jobs of one graph: nine digits of a job's id.
@@ -53,7 +55,9 @@
 pub const TTL_MOST_S: f64 = 86_400.0;
 /// When a client is told to come back with what cannot be taken now, in seconds.
 pub const RETRY_S: u32 = 1;
-/// Graphs that are ending at the same time: each writes a page for each of its pages.
-pub const ENDING_MOST: usize = 64;
+/// Requests that wait for the same write: repeated ones of one client, mostly.
+pub const TICKETS_MOST: usize = 8;
+/// How often it is looked for sessions that have lapsed: far below the shortest time to live.
+pub const LOOK_EVERY_MS: Millis = Millis(500);
 /// Final answers of graphs that are kept in memory; the state service has them all.
 pub const OVER_KEPT: usize = 1_000;
--- a/crates/graph/src/desk.rs
+++ b/crates/graph/src/desk.rs
@@ -10,8 +10,9 @@
 use crate::live::{Live, Pending, Phase, Why};
 use crate::loading::{Damages, Stage};
 pub use crate::loading::{Ended, JOBS_PREFIX, OpenJob, Read};
-use crate::model::{NodeState, Refused, Room};
-use crate::records::{Head, OverRecord, Part, PartEnd, SessionRecord};
+use crate::model::{Kind, NodeState, Refused, Room};
+use crate::paths::graph_due;
+use crate::records::{Head, OverRecord, Page, Part, PartEnd, SessionRecord};
 use crate::requests::{AddNodes, Ask, CreateGraph, OpenSession, check};
 use crate::sessions::{self, Session, digest, hash_key};
 use crate::writing::Queue;
@@ -19,6 +20,7 @@
 use oatloom_protocol::ids::{JobId, Millis, Mono, Now, Revision, Token};
 use oatloom_protocol::reply::HttpReply;
 use oatloom_protocol::wire::{Failure, JobSpec, JobStatus};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
@@ -42,7 +44,7 @@
     /// Once it is durable; the ticket is named then.
     Later,
     /// No such graph is open: whether it is over stands in the state service.
-    NotOpen(GraphId),
+    NotOpen,
     /// What a job runs; its description is the rest of the leader's to add.
     Job(JobId, Box<JobNodes>),
 }
@@ -150,7 +152,9 @@
 
     /// The classes of open graphs.
     pub fn classes(&self) -> BTreeSet<String> {
-        self.graphs.values().map(|live| live.head.class.clone()).collect()
+        let classes: BTreeSet<&str> =
+            self.graphs.values().map(|live| live.head.class.as_str()).collect();
+        classes.into_iter().map(str::to_owned).collect()
     }
 
     /// The graph of a job, and the kind of its nodes.
@@ -210,7 +214,7 @@
                     Verdict::Reply(HttpReply::later("the graph is being written"))
                 }
                 Some(live) => Verdict::Reply(HttpReply::json(200, &live.view(self.token, look))),
-                None => Verdict::NotOpen(*graph),
+                None => Verdict::NotOpen,
             },
         }
     }
@@ -260,7 +264,7 @@
                 return Verdict::Reply(HttpReply::error(403, "the session is another's"));
             }
             return match session.phase {
-                sessions::Phase::Opening if session.tickets.len() < 8 => {
+                sessions::Phase::Opening if session.tickets.len() < TICKETS_MOST => {
                     session.tickets.push(ticket);
                     Verdict::Later
                 }
@@ -347,7 +351,7 @@
                 && live.head.class == create.jobclass;
             return match &live.phase {
                 _ if !same => Verdict::Reply(HttpReply::error(409, "the graph is another's")),
-                Phase::Creating if live.tickets.len() < 8 => {
+                Phase::Creating if live.tickets.len() < TICKETS_MOST => {
                     live.tickets.push(ticket);
                     Verdict::Later
                 }
@@ -361,7 +365,7 @@
         let owner = match self.session(&create.session, &create.key) {
             Ok(session) => session.record.owner.clone(),
             // A repeated request may come when the graph and its session are over.
-            Err(HttpReply { status: 404, .. }) => return Verdict::NotOpen(id),
+            Err(HttpReply { status: 404, .. }) => return Verdict::NotOpen,
             Err(reply) => return Verdict::Reply(reply),
         };
         let of_team = self.graphs.values().filter(|live| live.head.owner == owner).count();
@@ -427,7 +431,7 @@
         around: &Around,
     ) -> Verdict {
         let refuse = |status, text: &str| Verdict::Reply(HttpReply::error(status, text));
-        let Some(live) = self.graphs.get(&id) else { return Verdict::NotOpen(id) };
+        let Some(live) = self.graphs.get(&id) else { return Verdict::NotOpen };
         if live.head.key != hash_key(&add.key) {
             return refuse(403, "wrong key");
         }
@@ -460,14 +464,6 @@
             return Verdict::Reply(reply);
         }
         let owner = live.head.owner.clone();
-        let open = |of_team: bool| {
-            let counted = move |l: &&Live| !of_team || l.head.owner == owner;
-            let sum = |(nodes, bytes), l: &Live| {
-                (nodes + u64::from(l.model.len()), bytes + l.model.bytes)
-            };
-            self.graphs.values().filter(counted).fold((0u64, 0u64), sum)
-        };
-        let owner = live.head.owner.clone();
         let own = u64::from(live.model.len());
         let (nodes, bytes) = (u64::from(prepared.nodes), prepared.bytes as u64);
         let over = |used: u64, more: u64, most: u64| used.saturating_add(more) > most;
@@ -475,9 +471,8 @@
         if over(own, nodes, limits.graph_nodes.into()) {
             return refuse(422, "more nodes than a graph may have");
         }
-        let (team_nodes, team_bytes) = open(true);
-        let all = self.graphs.values().map(|l| (u64::from(l.model.len()), l.model.bytes));
-        let (all_nodes, all_bytes) = all.fold((0, 0), |sum, l| (sum.0 + l.0, sum.1 + l.1));
+        let (team_nodes, team_bytes) = self.used(|live| live.head.owner == owner);
+        let (all_nodes, all_bytes) = self.used(|_| true);
         if over(all_nodes, nodes, limits.nodes.into())
             || over(team_nodes, nodes, limits.team_nodes.into())
             || over(all_bytes, bytes, limits.bytes)
@@ -495,8 +490,16 @@
         Verdict::Later
     }
 
+    /// Nodes of open graphs, and bytes of their descriptions.
+    fn used(&self, counts: impl Fn(&Live) -> bool) -> (u64, u64) {
+        let counted = self.graphs.values().filter(|live| counts(live));
+        counted.fold((0, 0), |(nodes, bytes), live| {
+            (nodes + u64::from(live.model.len()), bytes + live.model.bytes)
+        })
+    }
+
     fn cancel(&mut self, ticket: u64, id: GraphId, key: &str) -> Verdict {
-        let Some(live) = self.graphs.get_mut(&id) else { return Verdict::NotOpen(id) };
+        let Some(live) = self.graphs.get_mut(&id) else { return Verdict::NotOpen };
         if live.head.key != hash_key(key) {
             return Verdict::Reply(HttpReply::error(403, "wrong key"));
         }
@@ -504,7 +507,7 @@
             Phase::Creating | Phase::Loading => {
                 Verdict::Reply(HttpReply::later("the graph is being written"))
             }
-            Phase::Marking if live.tickets.len() >= 8 => {
+            Phase::Marking if live.tickets.len() >= TICKETS_MOST => {
                 Verdict::Reply(HttpReply::later("the graph is being cancelled"))
             }
             Phase::Open | Phase::Marking => {
@@ -594,10 +597,6 @@
 
     fn cancel_jobs(&mut self, id: GraphId, seqs: Vec<Seq>) {
         self.effects.extend(seqs.into_iter().map(|seq| Effect::Cancel(id.job(seq))));
-        // What is decided of the rest may end it at once.
-        if let Some(live) = self.graphs.get_mut(&id) {
-            live.review();
-        }
     }
 
     /// A graph's end is decided.
@@ -634,7 +633,7 @@
         if !self.ready() || now < self.next_look {
             return;
         }
-        self.next_look = now.plus(Millis(500));
+        self.next_look = now.plus(LOOK_EVERY_MS);
         let lapsed =
             |(name, session): (&String, &Session)| session.lapsed(now).then(|| name.clone());
         for name in self.sessions.iter().filter_map(lapsed).collect::<Vec<_>>() {
@@ -656,10 +655,9 @@
             let urgency = |id: &GraphId| {
                 let live = self.graphs.get(id)?;
                 let fits = live.jobs.len() < OPEN_JOBS_OF_ONE;
-                let due =
-                    crate::paths::graph_due(live.created, live.head.due_s, live.path_s, now.mono);
+                let due = graph_due(live.created, live.head.due_s, live.path_s, now.mono);
                 let slack = due.0 as i64 - (live.path_s * 1000.0) as i64;
-                fits.then_some((std::cmp::Reverse(live.head.rank), slack, *id))
+                fits.then_some((Reverse(live.head.rank), slack, *id))
             };
             let (_, _, id) = self.wanting.iter().filter_map(urgency).min()?;
             let class = self.graphs.get(&id)?.head.class.clone();
@@ -701,21 +699,17 @@
 }
 
 /// Why nodes of an addition can never run.
-fn unfit(live: &Live, pages: &[crate::records::Page], around: &Around) -> Option<HttpReply> {
+fn unfit(live: &Live, pages: &[Page], around: &Around) -> Option<HttpReply> {
     let mut shapes: BTreeMap<(u16, u32), String> = BTreeMap::new();
     for page in pages {
         for (name, kind, shards, _) in &page.nodes {
             shapes.entry((*kind, *shards)).or_insert_with(|| name.clone());
         }
     }
-    let new: Vec<crate::model::Kind> = pages
+    let new: Vec<Kind> = pages
         .iter()
         .flat_map(|page| &page.kinds)
-        .map(|(name, spec)| crate::model::Kind {
-            name: name.clone(),
-            spec: spec.clone(),
-            learnt_s: None,
-        })
+        .map(|(name, spec)| Kind { name: name.clone(), spec: spec.clone(), learnt_s: None })
         .collect();
     for ((kind, shards), name) in shapes {
         let known = live.model.kinds.get(usize::from(kind));
--- a/crates/graph/src/live.rs
+++ b/crates/graph/src/live.rs
@@ -240,12 +240,12 @@
 
     /// What follows from where its nodes stand. Returns the jobs that are to be cancelled.
     pub fn review(&mut self) -> Vec<Seq> {
+        let mut cancelled = Vec::new();
         if self.phase == Phase::Open {
             if self.head.on_failure == OnFailure::CancelRest && self.first_bad().is_some() {
-                return self.stop(Why::Failed);
-            }
-            if self.model.sealed && self.model.work_left == 0 {
-                return self.stop(Why::Finished);
+                cancelled = self.stop(Why::Failed);
+            } else if self.model.sealed && self.model.work_left == 0 {
+                cancelled = self.stop(Why::Finished);
             }
         }
         if let Phase::Stopping(why) = &self.phase
@@ -257,7 +257,7 @@
             self.model.end_rest();
             self.enter(Phase::Ending(why));
         }
-        Vec::new()
+        cancelled
     }
 
     /// Its end is decided. Returns the jobs that are to be cancelled.
@@ -374,14 +374,11 @@
         let from: usize = from.and_then(|(_, at)| at.parse().ok()).unwrap_or(0);
         let changes = &self.model.changes;
         let from = from.min(changes.len());
-        let to = changes.len().min(from.saturating_add(look.most));
         // The end of what was not told as final of a graph that is ending is told with its final answer.
         let early = matches!(self.phase, Phase::Ending(_));
-        let mut rows: BTreeSet<NodeIx> = changes[from..to].iter().copied().collect();
-        if early {
-            rows.clear();
-        }
-        let next = if early { from } else { to };
+        let most = if early { 0 } else { look.most };
+        let to = changes.len().min(from.saturating_add(most));
+        let rows: BTreeSet<NodeIx> = changes[from..to].iter().copied().collect();
         GraphView {
             graph: self.id,
             status,
@@ -402,7 +399,7 @@
                 _ => String::new(),
             },
             changed: rows.into_iter().filter_map(|at| self.node_view(at)).collect(),
-            next: format!("{token}.{next}"),
+            next: format!("{token}.{to}"),
             more: !early && to < changes.len(),
         }
     }
--- a/crates/graph/src/writing.rs
+++ b/crates/graph/src/writing.rs
@@ -4,7 +4,7 @@
 use crate::constants::*;
 use crate::desk::{Desk, Effect, Launch};
 use crate::ids::{GraphId, Seq};
-use crate::live::{JobPhase, Phase, Why};
+use crate::live::{Phase, Why};
 use crate::records::{
     Head, Page, SESSION_COUNT, SessionRecord, head_key, over_key, over_page_key, page_key,
     session_key,
@@ -493,12 +493,6 @@
         };
         live.tickets.into_iter().for_each(|ticket| self.reply(ticket, reply.clone()));
     }
-
-    /// Jobs of a graph that are open, for checks.
-    pub fn open_jobs_of(&self, id: GraphId) -> Vec<(Seq, JobPhase)> {
-        let jobs = self.graphs.get(&id).into_iter().flat_map(|live| &live.jobs);
-        jobs.map(|(seq, (_, phase))| (*seq, *phase)).collect()
-    }
 }
 
 fn size(change: &Change) -> usize {
--- a/tests/graphs.rs
+++ b/tests/graphs.rs
@@ -8,7 +8,7 @@
 use oatloom_protocol::ids::JobId;
 use oatloom_protocol::wire::JobStatus;
 use std::collections::{BTreeMap, BTreeSet};
-use world::{Fault, World};
+use world::{Fault, World, more_days, show_log};
 
 const ON: &str =
     "((graphs . #t) (graph-limits . ((additions-per-s . 50.0) (team-additions-per-s . 50.0))))";
@@ -45,17 +45,10 @@
     tally.wrong.extend(wrong.into_iter().map(|text| format!("{name}: {text}")));
 }
 
-fn more() -> u64 {
-    let _ = env_logger::Builder::new()
-        .parse_filters(&std::env::var("LOG_LEVEL").unwrap_or_default())
-        .is_test(true)
-        .try_init();
-    std::env::var("OATLOOM_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(0)
-}
-
 fn seeds(from: u64, count: u64, failing: bool) {
+    show_log();
     let mut tally = Tally::default();
-    for seed in from..from + count + more() {
+    for seed in from..from + count + more_days() {
         let mut world = World::new(seed, true);
         let at = |n: u64| 15_000 + (seed * 7_919 + n * 31_337) % 90_000;
         world.trouble((0..2).map(|n| (at(n), Fault::Crash(n as usize))));
@@ -101,8 +94,9 @@
 /// next leader goes on without a node run twice, lost or answered twice.
 #[test]
 fn a_takeover_at_any_step_goes_on() {
+    show_log();
     let mut tally = Tally::default();
-    for step in 0..60 + more() {
+    for step in 0..60 + more_days() {
         let crash = |n: u64| (6_000 + n * 21_000 + step * 350, Fault::CrashAll);
         let mut world = World::scripted(9, (0..3).map(crash).collect(), 90_000, None);
         world.restart_ms = 1_000;
@@ -118,8 +112,9 @@
 /// theirs runs on, and no record of it stays.
 #[test]
 fn clients_that_vanish_leave_no_orphans() {
+    show_log();
     let mut tally = Tally::default();
-    for moment in 0..50 + 3 * more() {
+    for moment in 0..50 + 3 * more_days() {
         let at = 4_000 + (moment * 1_237) % 60_000;
         let crash = (at + (moment * 811) % 30_000, Fault::CrashAll);
         let outage =
--- a/tests/repeats.rs
+++ b/tests/repeats.rs
@@ -10,7 +10,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeSet;
-use world::{Fault, World};
+use world::{Fault, World, more_days, show_log};
 
 const CLASSES: &str = "((classes (class (name \"quick\") (repeats 2) (on-exhausted fail-job))
     (class (name \"slow\") (repeats 1) (on-exhausted finish-rest))))";
@@ -76,11 +76,8 @@
 }
 
 fn seeds(from: u64, count: u64) {
-    let _ = env_logger::Builder::new()
-        .parse_filters(&std::env::var("LOG_LEVEL").unwrap_or_default())
-        .is_test(true)
-        .try_init();
-    let more: u64 = std::env::var("OATLOOM_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(0);
+    show_log();
+    let more = more_days();
     let mut tally = Tally::default();
     for seed in from..from + count + more {
         play(seed, &mut tally);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -6,12 +6,11 @@
 
 use oatloom_emulator::checker::{Checker, OnMachine, Place};
 use oatloom_protocol::wire::JobStatus;
-use world::World;
+use world::{World, more_days, show_log};
 
 fn play(seed: u64, faults: bool) -> World {
     // `LOG_LEVEL=debug` shows what the controllers of a failing seed say.
-    let level = std::env::var("LOG_LEVEL").unwrap_or_default();
-    let _ = env_logger::Builder::new().parse_filters(&level).is_test(true).try_init();
+    show_log();
     let mut world = World::new(seed, faults);
     world.play();
     let broken = &world.region.checker.broken;
@@ -23,7 +22,7 @@
 }
 
 fn seeds(first: u64, count: u64) {
-    let more: u64 = std::env::var("OATLOOM_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(0);
+    let more = more_days();
     let (mut done, mut cancelled) = (0, 0);
     for seed in first..first + count + more {
         let world = play(seed, true);
--- a/tests/usage.rs
+++ b/tests/usage.rs
@@ -10,7 +10,7 @@
 use oatloom_ledger::tally::{Line, Tally, word};
 use oatloom_protocol::wire::{Cause, Shape};
 use std::collections::BTreeMap;
-use world::World;
+use world::{World, more_days, show_log};
 
 /// Sums by cause of everything that is accounted, wherever it stands.
 fn accounted(world: &World) -> BTreeMap<String, Line> {
@@ -50,11 +50,8 @@
 }
 
 fn seeds(from: u64, count: u64) {
-    let _ = env_logger::Builder::new()
-        .parse_filters(&std::env::var("LOG_LEVEL").unwrap_or_default())
-        .is_test(true)
-        .try_init();
-    let more: u64 = std::env::var("OATLOOM_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(0);
+    show_log();
+    let more = more_days();
     let (mut attempts, mut unseen, mut inferred, mut exact) = (0, 0, 0, 0);
     for seed in from..from + count + more {
         let mut world = World::new(seed, true);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -226,6 +226,17 @@
     calm_from: u64,
 }
 
+/// Shows what controllers say, as far as `LOG_LEVEL` asks for it.
+pub fn show_log() {
+    let level = std::env::var("LOG_LEVEL").unwrap_or_default();
+    let _ = env_logger::Builder::new().parse_filters(&level).is_test(true).try_init();
+}
+
+/// How many days are to be played beyond the fixed ones, as `OATLOOM_SEEDS` has it.
+pub fn more_days() -> u64 {
+    std::env::var("OATLOOM_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(0)
+}
+
 fn obeyed(report: Option<Report>) -> Event {
     Event::Obeyed { report: report.map(Box::new) }
 }
