Nothing is hired where nothing reports; silent machines of a lost zone are kept a while

Cause: when a zone was cut off, its machines fell silent, were returned together at the end of their leases, and as many were hired again in the same zone: wishes went to the cheapest kind that was not refused, and nothing remembered that the zone was mute once its machines were gone.

Change: crates/zones, deterministic, with the standing of each zone (whole, doubted, mute, lost, returning). None of its machines reports while others do: few machines allow one hire at a time, three and more none. Wishes that wait there are let go, machines on their way there are not counted on. It stays lost without machines until reports come twice; with each loss within ten minutes the way back takes longer. Leaders tell their peers. One silent machine stays for five minutes to report the moment the zone is back, the others for as long as having them again would take (a boot and their images); cores that cannot be reached do not count as rented to the loop. Now and then one machine is hired to see whether a zone lives.

Left: an outage of all controllers at once forgets the standing; it is to become durable with the rest of the lost zone.

--- a/crates/core/src/cloud.rs
+++ b/crates/core/src/cloud.rs
@@ -141,6 +141,11 @@
         }
     }
 
+    /// Gives up wishes for machines in a zone that were never sent.
+    pub fn unwish(&mut self, zone: &Zone) {
+        self.hires.retain(|a| a.sent || a.tries > 0 || a.hire.zone != *zone);
+    }
+
     pub fn release(&mut self, host: &HostId) {
         self.releases.insert(host.clone());
     }
--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -3,6 +3,7 @@
 use crate::constants::NOTES_MACHINES_KEPT;
 use oatloom_protocol::ids::{HostId, Member, Token};
 use oatloom_protocol::wire::JobSpec;
+use oatloom_zones::Told;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 
@@ -19,6 +20,9 @@
     pub shown: Vec<(String, f64)>,
     /// For each class its latest job, and how long ago (ms) its jobs came.
     pub arrivals: Vec<(JobSpec, Vec<u64>)>,
+    /// Zones that are lost, or were lately.
+    #[serde(default)]
+    pub zones: Vec<Told>,
 }
 
 impl Notes {
--- a/crates/core/src/placement/gangs.rs
+++ b/crates/core/src/placement/gangs.rs
@@ -7,7 +7,7 @@
     pub(super) fn yielding(&mut self, need: &Need, book: &Book) -> BTreeMap<Zone, usize> {
         let mut zones = BTreeMap::new();
         for m in self.fleet.machines.values() {
-            if !usable(m, self.now) || !need.allows(&m.flavor, &m.zone, m.spot) {
+            if !usable(self.fleet, m, self.now) || !need.allows(&m.flavor, &m.zone, m.spot) {
                 continue;
             }
             let mut room = Room::default();
--- a/crates/core/src/placement/room.rs
+++ b/crates/core/src/placement/room.rs
@@ -63,7 +63,7 @@
         for m in self.fleet.machines.values() {
             let taken = m.reserved.as_ref().is_some_and(|(_, until)| self.now < *until)
                 || self.plan.reserve.iter().any(|(h, _)| *h == m.id);
-            if !usable(m, self.now)
+            if !usable(self.fleet, m, self.now)
                 || taken
                 || count > 1 && started.contains(&m.id)
                 || job.avoids(&m.id)
--- a/crates/core/src/placement/slots.rs
+++ b/crates/core/src/placement/slots.rs
@@ -109,8 +109,10 @@
 }
 
 /// Whether new tasks may go to the machine.
-pub(super) fn usable(m: &Machine, now: Mono) -> bool {
-    matches!(m.life, Life::Live | Life::Closing) && now >= m.paused_until
+pub(super) fn usable(fleet: &Fleet, m: &Machine, now: Mono) -> bool {
+    matches!(m.life, Life::Live | Life::Closing)
+        && now >= m.paused_until
+        && !fleet.zones.lost(&m.zone)
 }
 
 impl<'a> Yard<'a> {
@@ -135,8 +137,9 @@
             }
         }
         for m in fleet.machines.values() {
-            let live = usable(m, now);
-            if !live && m.life != Life::Booting {
+            let live = usable(fleet, m, now);
+            // Guards against waiting for machines of a zone that is cut off: they boot, and nobody hears of it.
+            if !live && (m.life != Life::Booting || fleet.zones.lost(&m.zone)) {
                 continue;
             }
             let Some(flavor) = flavors().find(|f| f.label == m.flavor) else { continue };
@@ -161,7 +164,7 @@
             };
             yard.push(slot, if live { When::Live } else { When::Coming });
         }
-        for (kind, number) in awaited {
+        for (kind, number) in awaited.iter().filter(|(kind, _)| !fleet.zones.lost(&kind.zone)) {
             let Some(flavor) = flavors().find(|f| f.label == kind.flavor) else { continue };
             let kind = yard.kind(flavor, &kind.zone, kind.spot);
             for _ in 0..*number {
--- a/crates/core/src/reign/capacity.rs
+++ b/crates/core/src/reign/capacity.rs
@@ -112,14 +112,19 @@
         (target, floor, claims)
     }
 
+    /// Whether a machine is empty and cannot be reached, since its zone is lost.
+    fn out_of_reach(&self, m: &Machine) -> bool {
+        m.life == Life::Silent && m.empty() && self.fleet.zones.lost(&m.zone)
+    }
+
+    fn cores(&self, which: impl Fn(&Machine) -> bool) -> f64 {
+        let machines = self.fleet.machines.values().filter(|m| which(m));
+        machines.filter_map(|m| self.fleet.flavor(&m.flavor)).map(|f| f.cpus).sum()
+    }
+
+    /// Rented cores that can do some of the work which the loop serves.
     pub(super) fn rented(&self) -> f64 {
-        self.fleet
-            .machines
-            .values()
-            .filter(|m| m.life != Life::Releasing)
-            .filter_map(|m| self.fleet.flavor(&m.flavor))
-            .map(|f| f.cpus)
-            .sum()
+        self.cores(|m| m.life != Life::Releasing && !self.out_of_reach(m))
     }
 
     /// One period of the control loop.
@@ -167,7 +172,8 @@
         }
         self.return_idle(&plan, ops, desk, now);
         self.consolidate(settings, &plan, desk, now);
-        self.hire(plan, rented, bounds.max, desk);
+        let lost = self.cores(|m| self.out_of_reach(m));
+        self.hire(plan, rented, bounds.max - lost, desk);
     }
 
     /// One line on where the rented room is.
@@ -202,8 +208,13 @@
                 *counts.entry(kind).or_default() += 1;
             }
         }
+        let mut single: BTreeSet<Zone> = BTreeSet::new();
         for (kind, number) in counts {
-            desk.hire(&kind, number);
+            match self.fleet.zones.hires(&kind.zone) {
+                Hires::OneAtATime if single.insert(kind.zone.clone()) => desk.hire(&kind, 1),
+                Hires::OneAtATime => {}
+                _ => desk.hire(&kind, number),
+            }
         }
     }
 
--- a/crates/core/src/reign/dispatch.rs
+++ b/crates/core/src/reign/dispatch.rs
@@ -6,7 +6,14 @@
     /// One placement pass; starts and stops are taken up, hires are left to the caller.
     pub(super) fn place(&mut self, settings: &Settings, desk: &CloudDesk, now: Mono) -> Plan {
         self.place_dirty = false;
-        let refused = |kind: &Kind| desk.refused(kind, now);
+        let coming = self.coming(desk);
+        let zones = &self.fleet.zones;
+        let closed = |zone: &Zone| match zones.hires(zone) {
+            Hires::AsNeeded => false,
+            Hires::OneAtATime => coming.contains(zone),
+            Hires::None => true,
+        };
+        let refused = |kind: &Kind| desk.refused(kind, now) || closed(&kind.zone);
         let mut plan = placement::plan(Inputs {
             now,
             settings,
--- a/crates/core/src/reign/machines.rs
+++ b/crates/core/src/reign/machines.rs
@@ -53,6 +53,9 @@
                 machine.spot = row.spot;
                 self.place_dirty = true;
             }
+            if row.status == MachineStatus::Running {
+                machine.listed_up.get_or_insert(now);
+            }
             if row.status == MachineStatus::Failed {
                 machine.enter(Life::Releasing, "failed by itself");
                 desk.release(&row.host);
@@ -77,15 +80,21 @@
             let from = m.last_report.unwrap_or(m.born).max(found_by.min(now));
             now.since(from)
         };
-        let mut zones: BTreeMap<Zone, (u32, u32)> = BTreeMap::new();
-        for m in self.fleet.machines.values() {
-            if m.last_report.is_some() && m.life != Life::Releasing {
-                let (all, silent) = zones.entry(m.zone.clone()).or_default();
-                *all += 1;
+        let mut seen: BTreeMap<Zone, Seen> = BTreeMap::new();
+        for m in self.fleet.machines.values().filter(|m| m.life != Life::Releasing) {
+            let seen = seen.entry(m.zone.clone()).or_default();
+            if let Some(at) = m.last_report {
+                seen.known += 1;
                 // Those cut off together fall silent within a report period of each other.
-                *silent += u32::from(silence(m) > early);
+                seen.silent += u32::from(silence(m) > early);
+                seen.heard += u32::from(now.since(at) <= early);
+                seen.latest = seen.latest.max(Some(at));
+            } else if let Some(at) = m.listed_up {
+                seen.unheard += u32::from(now.since(at.max(found_by.min(now))) > early);
             }
         }
+        self.fleet.zones.observe(&seen, now);
+        let mut sentinels: BTreeSet<Zone> = BTreeSet::new();
         let mut expired = Vec::new();
         for m in self.fleet.machines.values_mut() {
             if now > Fleet::horizon(m, self.since, facts.lease_s) && !m.held.is_empty() {
@@ -115,12 +124,25 @@
             if silent && matches!(m.life, Life::Live | Life::Closing) {
                 m.enter(Life::Silent, "no reports");
             }
-            let (all, quiet) = zones.get(&m.zone).copied().unwrap_or_default();
             // Guards against taking a cut between zones for the loss of all their machines: they
             // are left alone until their leases have run out in any case.
-            let cut = quiet >= 3 && quiet * 2 > all;
+            let cut = seen.get(&m.zone).is_some_and(Seen::cut);
             let over = now > Fleet::horizon(m, self.since, facts.lease_s);
-            if silent && (!cut || over) {
+            // One is left to report the moment its zone is back, the others for as long as it would take to have them
+            // again: a boot, and the fetch of their images.
+            let again_s = || {
+                let flavors = self.fleet.catalog.iter().flat_map(|c| &c.flavors);
+                let flavor = flavors.into_iter().find(|f| f.label == m.flavor);
+                let gb: f64 = m.images.iter().filter(|i| i.ready).map(|i| i.gb).sum();
+                flavor.map_or(0.0, |f| f.boot_s + gb / f.fetch_gb_per_s.max(0.01))
+            };
+            let kept = silent && m.taken_at.is_none() && self.fleet.zones.lost(&m.zone) && {
+                let sentinel = self.fleet.zones.keeps_sentinel(&m.zone, now);
+                let horizon = Fleet::horizon(m, self.since, facts.lease_s);
+                sentinel && sentinels.insert(m.zone.clone())
+                    || now <= horizon.plus(Millis::from_secs(again_s()))
+            };
+            if silent && (!cut || over) && !kept {
                 m.enter(Life::Releasing, "silent for too long");
                 desk.release(&m.id);
             } else if m.life == Life::Draining && m.empty() && m.taken_at.is_none() {
@@ -136,6 +158,41 @@
         }
     }
 
+    /// Zones in which a machine is on its way.
+    pub(super) fn coming(&self, desk: &CloudDesk) -> BTreeSet<Zone> {
+        let boots = |m: &&Machine| m.life == Life::Booting && m.listed_up.is_none();
+        let booting = self.fleet.machines.values().filter(boots).map(|m| m.zone.clone());
+        booting.chain(desk.awaited().map(|(kind, _)| kind.zone)).collect()
+    }
+
+    /// In a zone that is lost nothing is hired as needed. What was wished for there and not asked for yet is let go;
+    /// now and then one machine is hired to see whether the zone lives, if none waits there already.
+    pub(super) fn probe_zones(&mut self, desk: &mut CloudDesk, now: Mono) {
+        for zone in self.fleet.zones.all_lost() {
+            desk.unwish(zone);
+        }
+        for zone in self.fleet.zones.take_probes(now) {
+            let waits = |m: &Machine| m.zone == zone && m.life != Life::Releasing;
+            if self.fleet.machines.values().any(waits) {
+                continue;
+            }
+            let flavors = self.fleet.catalog.iter().flat_map(|c| &c.flavors);
+            let here = flavors.filter(|f| f.zones.contains(&zone));
+            let kinds = here.flat_map(|f| [true, false].map(|spot| (f, spot)));
+            let open = kinds.map(|(f, spot)| {
+                let kind = Kind { flavor: f.label.clone(), zone: zone.clone(), spot };
+                (f.price_as(spot), kind)
+            });
+            let cheapest = open
+                .filter(|(_, kind)| !desk.refused(kind, now))
+                .min_by(|a, b| a.0.total_cmp(&b.0));
+            if let Some((_, kind)) = cheapest {
+                log::info!("zone {zone}: one machine is hired to see whether it lives");
+                desk.hire(&kind, 1);
+            }
+        }
+    }
+
     /// Tasks on machines that are to be emptied are asked to save and go.
     pub(super) fn drain(&mut self, now: Mono) {
         let mut stops = Vec::new();
--- a/crates/core/src/reign/mod.rs
+++ b/crates/core/src/reign/mod.rs
@@ -30,6 +30,7 @@
     Cause, Command, JobSpec, JobStatus, Listed, MachineStatus, Order, Report, ReportAnswer, Shape,
     TaskPhase, TaskReport,
 };
+use oatloom_zones::{Hires, Seen, Zones};
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound;
 use std::sync::Arc;
@@ -140,6 +141,7 @@
     pub fn new(token: Token, now: Mono, mut fleet: Fleet, terms: &Terms) -> Self {
         fleet.machines.clear();
         fleet.gone.clear();
+        fleet.zones = Zones::default();
         Self {
             token,
             since: now,
@@ -221,11 +223,13 @@
             images,
             shown: self.shown.iter().map(|(class, bias)| (class.clone(), bias.mean)).collect(),
             arrivals: arrivals.into_values().collect(),
+            zones: self.fleet.zones.told(now),
         }
     }
 
     /// Takes up what an earlier leader noted at `noted`.
     pub fn recall(&mut self, notes: Notes, noted: Mono) {
+        self.fleet.zones.recall(&notes.zones, noted);
         for (host, images) in notes.images {
             let ready = |(name, gb)| Image { name, gb, ready: true };
             self.recalled.insert(host, images.into_iter().map(ready).collect());
@@ -381,6 +385,7 @@
         if now >= self.next_tick && now >= self.next_place.min(self.next_tick.plus(ops.tick())) {
             self.next_tick = now.plus(ops.tick());
             self.watch_machines(settings, ops, desk, now);
+            self.probe_zones(desk, now);
             self.drain(now);
             self.try_again(now);
             self.learn_nodes();
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -3,6 +3,7 @@
 use crate::constants::*;
 use oatloom_protocol::ids::*;
 use oatloom_protocol::wire::{Catalog, Flavor, Report};
+use oatloom_zones::Zones;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Amounts of a machine or a task.
@@ -94,6 +95,8 @@
     pub shift: Shift,
     pub tally: Tally,
     pub last_report: Option<Mono>,
+    /// Since when the cloud's list is known to say that it is up.
+    pub listed_up: Option<Mono>,
     /// When a report was last answered with 200 by this leader.
     pub last_answer: Option<Mono>,
     pub held: BTreeMap<TaskId, Room>,
@@ -207,6 +210,8 @@
     pub machines: BTreeMap<HostId, Machine>,
     pub gone: BTreeMap<HostId, Mono>,
     pub catalog: Option<Catalog>,
+    /// Whether each zone lives, as far as its machines show it.
+    pub zones: Zones,
 }
 
 impl Fleet {
@@ -261,6 +266,7 @@
                 shift: Shift(0),
                 tally: Tally(0),
                 last_report: None,
+                listed_up: None,
                 last_answer: None,
                 held: BTreeMap::new(),
                 used: Room::default(),
--- /dev/null
+++ b/crates/zones/src/lib.rs
@@ -0,0 +1,422 @@
+//! Whether each zone lives, as far as what its machines say shows it beside the rest of the fleet, and so where
+//! machines may be hired. `(what was seen, now) -> standing`; silence never proves that anything is gone.
+
+pub mod constants;
+
+use constants::*;
+use oatloom_protocol::ids::{Millis, Mono, Zone};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Where a zone stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Whole,
+    /// Most of its machines are silent, and some are not: it may be cut from a part of the region.
+    Doubted,
+    /// None of its few machines reports while others of the fleet do: they may have ended one by one. One report more
+    /// than the first is needed to trust it again.
+    Mute {
+        heard: Option<Mono>,
+    },
+    /// None of its machines reports while others of the fleet do.
+    Lost {
+        since: Mono,
+    },
+    /// Reports come again; hires wait until they have come for a while: what a cut held back comes once.
+    Returning {
+        since: Mono,
+        until: Mono,
+    },
+}
+
+/// What is known of a zone's machines at one moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Seen {
+    /// Machines that have reported to this controller before.
+    pub known: u32,
+    /// Those of them that ought to have reported again, and have not.
+    pub silent: u32,
+    /// Those of them whose last report is recent. After a while in which a controller heard nobody, a machine may be
+    /// neither.
+    pub heard: u32,
+    /// When the last report came.
+    pub latest: Option<Mono>,
+    /// Machines that the cloud says are up, for longer than a report takes, and that this controller never heard.
+    pub unheard: u32,
+}
+
+impl Seen {
+    /// Whether most of the machines that had reported fell silent together, as they do when they are cut off.
+    pub fn cut(&self) -> bool {
+        self.silent >= EVIDENCE_MACHINES && self.silent * 2 > self.known
+    }
+
+    /// How many machines ought to report where none does.
+    fn missed(&self) -> u32 {
+        let none = self.heard == 0 && self.silent == self.known;
+        if none { self.silent + self.unheard } else { 0 }
+    }
+}
+
+/// Whether machines may be hired in a zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Hires {
+    AsNeeded,
+    /// Only where none is on its way there already.
+    OneAtATime,
+    None,
+}
+
+/// What one controller tells another of a zone that is not whole.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Told {
+    pub zone: Zone,
+    /// For how long it has been lost; `None`: it is on its way back.
+    pub lost_ms: Option<u64>,
+    /// Losses that count towards its way back.
+    pub losses: u32,
+    /// How long ago the last of them was, ms.
+    pub last_ms: u64,
+}
+
+#[derive(Debug)]
+struct State {
+    standing: Standing,
+    losses: u32,
+    last_loss: Mono,
+    next_probe: Mono,
+}
+
+/// The standing of every zone that was ever seen.
+#[derive(Debug, Default)]
+pub struct Zones {
+    states: BTreeMap<Zone, State>,
+}
+
+impl Zones {
+    /// The one place where a standing changes.
+    fn enter(zone: &Zone, state: &mut State, standing: Standing, why: &str) {
+        log::info!("zone {zone}: {:?} -> {standing:?} ({why})", state.standing);
+        state.standing = standing;
+    }
+
+    fn state(&mut self, zone: &Zone) -> &mut State {
+        self.states.entry(zone.clone()).or_insert(State {
+            standing: Standing::Whole,
+            losses: 0,
+            last_loss: Mono(0),
+            next_probe: Mono(0),
+        })
+    }
+
+    /// Takes up what was seen of all zones at `now`. Of a zone that is not among them nothing is there to report. A
+    /// zone is lost only beside others that are not: a controller that hears nobody knows nothing of any of them.
+    pub fn observe(&mut self, seen: &BTreeMap<Zone, Seen>, now: Mono) {
+        let heard: u32 = seen.values().map(|s| s.heard).sum();
+        for (zone, s) in seen {
+            let state = self.state(zone);
+            let missed = if heard > 0 { s.missed() } else { 0 };
+            let latest = s.latest.filter(|_| s.heard > 0);
+            let next = match state.standing {
+                Standing::Lost { .. } => latest.map(|_| {
+                    let doubled = RETURN_MS.0 << state.losses.saturating_sub(1).min(16);
+                    let until = now.plus(Millis(doubled.min(RETURN_MOST_MS.0)));
+                    (Standing::Returning { since: now, until }, "reports come again")
+                }),
+                _ if missed >= EVIDENCE_MACHINES => {
+                    let apart = now.since(state.last_loss) > FLAP_SPAN_MS;
+                    state.losses = if apart || state.losses == 0 { 1 } else { state.losses + 1 };
+                    state.last_loss = now;
+                    state.next_probe = now.plus(PROBE_EVERY_MS);
+                    Some((Standing::Lost { since: now }, "nothing there reports"))
+                }
+                Standing::Returning { until, .. } if now < until => None,
+                Standing::Returning { since, .. } => {
+                    let lasts = latest.is_some_and(|at| at.since(since) >= AGAIN_MS);
+                    let lost = Standing::Lost { since: state.last_loss };
+                    Some(match lasts {
+                        true => (Standing::Whole, "reports have come for a while"),
+                        false => (lost, "no further reports came"),
+                    })
+                }
+                Standing::Mute { heard: None } => {
+                    latest.map(|at| (Standing::Mute { heard: Some(at) }, "a machine reports"))
+                }
+                Standing::Mute { heard: Some(first) } => latest
+                    .filter(|at| at.since(first) >= AGAIN_MS)
+                    .map(|_| (Standing::Whole, "a machine reports again")),
+                _ if missed > 0 => {
+                    Some((Standing::Mute { heard: None }, "its few machines are silent"))
+                }
+                Standing::Whole if s.cut() => Some((Standing::Doubted, "most are silent")),
+                Standing::Doubted if !s.cut() => Some((Standing::Whole, "most report")),
+                Standing::Whole | Standing::Doubted => None,
+            };
+            if let Some((standing, why)) = next {
+                Self::enter(zone, state, standing, why);
+            }
+        }
+    }
+
+    pub fn standing(&self, zone: &Zone) -> Standing {
+        self.states.get(zone).map_or(Standing::Whole, |state| state.standing)
+    }
+
+    /// Whether nothing in the zone reports.
+    pub fn lost(&self, zone: &Zone) -> bool {
+        matches!(self.standing(zone), Standing::Lost { .. })
+    }
+
+    /// The zones in which nothing reports.
+    pub fn all_lost(&self) -> impl Iterator<Item = &Zone> {
+        let lost = |state: &State| matches!(state.standing, Standing::Lost { .. });
+        self.states.iter().filter(move |(_, state)| lost(state)).map(|(zone, _)| zone)
+    }
+
+    /// Whether machines may be hired there.
+    pub fn hires(&self, zone: &Zone) -> Hires {
+        match self.standing(zone) {
+            Standing::Whole | Standing::Doubted => Hires::AsNeeded,
+            Standing::Mute { .. } => Hires::OneAtATime,
+            Standing::Lost { .. } | Standing::Returning { .. } => Hires::None,
+        }
+    }
+
+    /// Whether a silent machine there is worth keeping, to hear from it when the zone is back.
+    pub fn keeps_sentinel(&self, zone: &Zone, now: Mono) -> bool {
+        matches!(self.standing(zone), Standing::Lost { since } if now.since(since) < SENTINEL_MS)
+    }
+
+    /// Lost zones in which one machine may be hired now to see whether they live; asking is taking.
+    pub fn take_probes(&mut self, now: Mono) -> Vec<Zone> {
+        let mut due = Vec::new();
+        for (zone, state) in &mut self.states {
+            if matches!(state.standing, Standing::Lost { .. }) && now >= state.next_probe {
+                state.next_probe = now.plus(PROBE_EVERY_MS);
+                due.push(zone.clone());
+            }
+        }
+        due
+    }
+
+    /// What the next leader should know: without it a zone whose machines were all returned looks empty, not lost.
+    pub fn told(&self, now: Mono) -> Vec<Told> {
+        let shaken = |(_, state): &(&Zone, &State)| {
+            state.losses > 0 && now.since(state.last_loss) <= FLAP_SPAN_MS
+        };
+        let told = |(zone, state): (&Zone, &State)| Told {
+            zone: zone.clone(),
+            lost_ms: match state.standing {
+                Standing::Lost { since } => Some(now.since(since).0),
+                _ => None,
+            },
+            losses: state.losses,
+            last_ms: now.since(state.last_loss).0,
+        };
+        self.states.iter().filter(shaken).map(told).collect()
+    }
+
+    /// Takes up what an earlier leader said at `noted`. It may have been the one that was cut off: what is heard from
+    /// here on goes before it.
+    pub fn recall(&mut self, told: &[Told], noted: Mono) {
+        let ago = |ms: u64| Mono(noted.0.saturating_sub(ms));
+        for told in told {
+            let state = self.state(&told.zone);
+            state.losses = told.losses.max(1);
+            state.last_loss = ago(told.last_ms);
+            if let Some(lost_ms) = told.lost_ms {
+                state.next_probe = ago(lost_ms).plus(PROBE_EVERY_MS);
+                let standing = Standing::Lost { since: ago(lost_ms) };
+                Self::enter(&told.zone, state, standing, "an earlier leader says so");
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::{Rng, SeedableRng};
+    use rand_chacha::ChaCha8Rng;
+
+    fn zone(name: &str) -> Zone {
+        Zone::new(name)
+    }
+
+    fn seen(a: Seen, b: Seen) -> BTreeMap<Zone, Seen> {
+        [(zone("a"), a), (zone("b"), b)].into()
+    }
+
+    /// All machines report, the last one at `at`.
+    fn all(known: u32, at: u64) -> Seen {
+        Seen { known, heard: known, latest: Some(Mono(at)), ..Seen::default() }
+    }
+
+    fn mute(known: u32) -> Seen {
+        Seen { known, silent: known, ..Seen::default() }
+    }
+
+    /// Guards against 472 machines hired in a zone that was cut off: it stays lost when its silent machines have been
+    /// returned and nothing is left there that could be silent.
+    #[test]
+    fn a_zone_whose_machines_were_returned_stays_lost() {
+        let mut zones = Zones::default();
+        zones.observe(&seen(all(250, 900), all(100, 900)), Mono(1_000));
+        assert_eq!(zones.hires(&zone("a")), Hires::AsNeeded);
+        zones.observe(&seen(mute(250), all(100, 19_000)), Mono(20_000));
+        assert!(zones.lost(&zone("a")) && zones.hires(&zone("b")) == Hires::AsNeeded);
+        zones.observe(&seen(Seen::default(), all(100, 59_000)), Mono(60_000));
+        zones.observe(&[(zone("b"), all(100, 60_000))].into(), Mono(60_500));
+        assert!(zones.lost(&zone("a")));
+        // New machines that are up there and silent change nothing, the first report does.
+        let silent = Seen { unheard: 2, ..Seen::default() };
+        zones.observe(&seen(silent, all(100, 60_500)), Mono(61_000));
+        assert!(zones.lost(&zone("a")));
+        zones.observe(&seen(all(1, 90_000), all(100, 90_000)), Mono(90_000));
+        assert!(!zones.lost(&zone("a")) && zones.hires(&zone("a")) == Hires::None);
+        let later = Mono(90_000).plus(RETURN_MS);
+        zones.observe(&seen(all(1, 94_000), all(100, 95_000)), later);
+        assert_eq!(zones.hires(&zone("a")), Hires::AsNeeded);
+    }
+
+    /// What a cut held back may come at any time, and comes once: guards against machines hired on the word of one
+    /// report that was minutes old.
+    #[test]
+    fn one_late_report_does_not_bring_a_zone_back() {
+        let mut zones = Zones::default();
+        zones.observe(&seen(mute(9), all(100, 20_000)), Mono(20_000));
+        zones.observe(&seen(all(1, 40_000), all(100, 40_000)), Mono(40_000));
+        let later = Mono(40_000).plus(RETURN_MS);
+        zones.observe(&seen(all(1, 40_000), all(100, 45_000)), later);
+        assert_eq!(zones.standing(&zone("a")), Standing::Lost { since: Mono(20_000) });
+    }
+
+    /// A controller that hears nobody was cut off itself, or an outage is over just now.
+    #[test]
+    fn silence_everywhere_shows_nothing() {
+        let mut zones = Zones::default();
+        zones.observe(&seen(mute(250), mute(100)), Mono(20_000));
+        assert!(["a", "b"].iter().all(|name| zones.hires(&zone(name)) == Hires::AsNeeded));
+    }
+
+    /// Some machines that die at once, and a part of a zone that is cut off, leave it open.
+    #[test]
+    fn a_zone_with_any_report_is_not_lost() {
+        let mut zones = Zones::default();
+        let some = Seen { silent: 249, heard: 1, ..all(250, 20_000) };
+        zones.observe(&seen(some, all(100, 20_000)), Mono(20_000));
+        assert_eq!(zones.standing(&zone("a")), Standing::Doubted);
+        assert!(some.cut() && zones.hires(&zone("a")) == Hires::AsNeeded);
+        zones.observe(&seen(mute(2), all(100, 40_000)), Mono(40_000));
+        assert_eq!(zones.hires(&zone("a")), Hires::OneAtATime, "two machines are little evidence");
+    }
+
+    /// Guards against hiring one machine after another where the only ones had fallen silent: one at a time, until one
+    /// reports, or enough have not.
+    #[test]
+    fn few_silent_machines_allow_one_hire_at_a_time() {
+        let one = Seen { unheard: 1, ..Seen::default() };
+        for comes_up in [true, false] {
+            let mut zones = Zones::default();
+            zones.observe(&seen(mute(1), all(100, 20_000)), Mono(20_000));
+            assert_eq!(zones.hires(&zone("a")), Hires::OneAtATime);
+            zones.observe(&seen(Seen::default(), all(100, 60_000)), Mono(60_000));
+            assert_eq!(zones.hires(&zone("a")), Hires::OneAtATime);
+            zones.observe(&seen(one, all(100, 90_000)), Mono(90_000));
+            assert_eq!(zones.hires(&zone("a")), Hires::OneAtATime);
+            if comes_up {
+                zones.observe(&seen(all(1, 95_000), all(100, 95_000)), Mono(95_000));
+                assert_eq!(zones.hires(&zone("a")), Hires::OneAtATime);
+                zones.observe(&seen(all(1, 98_000), all(100, 98_000)), Mono(98_000));
+                assert_eq!(zones.hires(&zone("a")), Hires::AsNeeded);
+            } else {
+                let three = Seen { unheard: 3, ..one };
+                zones.observe(&seen(three, all(100, 120_000)), Mono(120_000));
+                assert!(zones.lost(&zone("a")));
+            }
+        }
+    }
+
+    #[test]
+    fn a_zone_that_comes_and_goes_has_a_longer_way_back_each_time() {
+        let mut zones = Zones::default();
+        let (mut now, mut last) = (10_000, 0);
+        for _ in 0..8 {
+            zones.observe(&seen(mute(9), all(9, now)), Mono(now));
+            now += 20_000;
+            zones.observe(&seen(all(9, now), all(9, now)), Mono(now));
+            let Standing::Returning { until, .. } = zones.standing(&zone("a")) else { panic!() };
+            let back = until.since(Mono(now)).0;
+            assert!(back >= last && back <= RETURN_MOST_MS.0);
+            last = back;
+            now += 20_000;
+        }
+        assert_eq!(last, RETURN_MOST_MS.0);
+        // Long after, it counts as the first time again.
+        now += FLAP_SPAN_MS.0 + RETURN_MOST_MS.0;
+        zones.observe(&seen(all(9, now), all(9, now)), Mono(now));
+        zones.observe(&seen(mute(9), all(9, now)), Mono(now));
+        now += 1;
+        zones.observe(&seen(all(9, now), all(9, now)), Mono(now));
+        let until = Mono(now).plus(RETURN_MS);
+        assert_eq!(zones.standing(&zone("a")), Standing::Returning { since: Mono(now), until });
+    }
+
+    /// A takeover does not begin from nothing, and a leader that was wrong does not bind the next one.
+    #[test]
+    fn the_next_leader_knows_what_is_lost() {
+        let mut zones = Zones::default();
+        zones.observe(&seen(mute(9), all(9, 10_000)), Mono(10_000));
+        let told = zones.told(Mono(25_000));
+        let mut next = Zones::default();
+        next.recall(&told, Mono(1_000_000));
+        assert_eq!(next.standing(&zone("a")), Standing::Lost { since: Mono(985_000) });
+        assert!(next.take_probes(Mono(1_000_000)).is_empty());
+        let probe = Mono(985_000).plus(PROBE_EVERY_MS);
+        assert_eq!(next.take_probes(probe), [zone("a")]);
+        assert!(next.take_probes(probe).is_empty(), "a rare single one");
+        next.observe(&seen(all(4, 1_000_001), all(9, 1_000_001)), Mono(1_000_001));
+        assert!(!next.lost(&zone("a")));
+        // A clock that has shown less than what is told of does no harm.
+        Zones::default().recall(&told, Mono(3));
+    }
+
+    /// Whatever is seen: a zone with reports is never lost, and one with none is not opened again.
+    #[test]
+    fn seeded_walks_keep_the_meaning_of_lost() {
+        const NAMES: [&str; 3] = ["a", "b", "c"];
+        for seed in 0..200 {
+            let mut rng = ChaCha8Rng::seed_from_u64(seed);
+            let mut zones = Zones::default();
+            let mut now = Mono(1_000_000);
+            for _ in 0..300 {
+                now = now.plus(Millis(rng.random_range(100..15_000)));
+                let mut view = BTreeMap::new();
+                for name in NAMES {
+                    if rng.random_bool(0.2) {
+                        continue;
+                    }
+                    let known = rng.random_range(0..6);
+                    let heard = if rng.random_bool(0.5) { 0 } else { rng.random_range(0..=known) };
+                    let silent = rng.random_range(0..=known - heard);
+                    let latest = (heard > 0).then_some(now);
+                    let unheard = rng.random_range(0..3);
+                    view.insert(zone(name), Seen { known, silent, heard, latest, unheard });
+                }
+                let before = NAMES.map(|name| zones.standing(&zone(name)));
+                zones.observe(&view, now);
+                for (name, before) in NAMES.iter().zip(before) {
+                    let heard = view.get(&zone(name)).map_or(0, |s| s.heard);
+                    let after = zones.standing(&zone(name));
+                    let lost = |s: Standing| matches!(s, Standing::Lost { .. });
+                    assert!(!(lost(after) && heard > 0), "seed {seed}: {name} reports and is lost");
+                    if lost(before) {
+                        assert_eq!(zones.hires(&zone(name)), Hires::None, "seed {seed}: {name}");
+                        assert!(heard > 0 || after == before, "seed {seed}: {name} is open");
+                    }
+                }
+            }
+        }
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -209,6 +209,8 @@
     /// Until when the cloud is late, and by how much.
     cloud_late: (u64, u64),
     store_loses_until: u64,
+    /// Whether what a cut holds back may come while it lasts; else it never does.
+    pub leaky: bool,
     /// How long a node that crashed is away.
     pub restart_ms: u64,
     /// What the controllers' operators have set.
@@ -299,6 +301,7 @@
             cloud_outage_until: 0,
             cloud_late: (0, 0),
             store_loses_until: 0,
+            leaky: true,
             restart_ms: 5_000,
             operators: Operators::default(),
             entries: Vec::new(),
@@ -705,7 +708,9 @@
             let delay = match held {
                 false => self.delay(),
                 // What a cut holds back may come after it, long after its worker gave up.
-                true if self.rng.random_bool(0.5) => self.rng.random_range(5_000..30_000),
+                true if self.rng.random_bool(0.5) && self.leaky => {
+                    self.rng.random_range(5_000..30_000)
+                }
                 true => continue,
             };
             let from = From::Worker { host, report: id, sent: now };
--- /dev/null
+++ b/tests/zones.rs
@@ -0,0 +1,102 @@
+//! A zone that is cut off from all controllers and comes back: where machines are hired meanwhile, and the rules after
+//! every step. `OATLOOM_SEEDS=n` plays n seeds more.
+
+#[allow(dead_code)]
+mod world;
+
+use oatloom_protocol::ids::JobId;
+use oatloom_protocol::wire::{JobSpec, Rank, Shape};
+use std::collections::BTreeSet;
+use world::{Fault, STEP_MS, World, more_days, show_log};
+
+const LOST_AT: u64 = 60_000;
+const LOST_FOR: u64 = 100_000;
+/// Reports have to be missing for a while, and hires that were sent meanwhile are carried out late.
+const FOUND_AFTER: u64 = 20_000;
+
+/// An array that wants a machine and more.
+fn array(n: u64) -> JobSpec {
+    JobSpec {
+        id: JobId::new(&format!("req-7{n:05}")),
+        class: "slow".into(),
+        team: "blue".into(),
+        shape: Shape::Array,
+        rank: Rank::Standard,
+        tasks: 6,
+        cpus: 2.0,
+        gpus: 1.0,
+        memory_gb: 8.0,
+        image: "img-1".into(),
+        image_gb: 2.0,
+        flavors: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        estimate_s: 25.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: Some(60.0),
+    }
+}
+
+/// Machines that were rented in zone `a` while it was known to be lost, and in the other zones in the same time.
+fn hired_while_lost(seed: u64, more: impl IntoIterator<Item = (u64, Fault)>) -> (usize, usize) {
+    show_log();
+    let mut faults: Vec<(u64, Fault)> =
+        (0..3).map(|node| (LOST_AT, Fault::Apart(node, 0, LOST_FOR))).collect();
+    faults.extend(more);
+    faults.sort_by_key(|(at, _)| *at);
+    let mut world = World::scripted(seed, faults, 190_000, None);
+    world.leaky = false;
+    let mut known: BTreeSet<String> = BTreeSet::new();
+    let (mut there, mut elsewhere) = (0, 0);
+    while world.now < LOST_AT + LOST_FOR {
+        if world.now > LOST_AT - 30_000 && world.now.is_multiple_of(8_000) {
+            world.add_job(array(world.now / 1_000));
+        }
+        world.play_to(world.now + STEP_MS);
+        if !world.region.checker.broken.is_empty() {
+            break;
+        }
+        let counts = world.now > LOST_AT + FOUND_AFTER;
+        for (name, worker) in &world.region.workers {
+            if known.insert(name.clone()) && counts {
+                *(if worker.place.zone == "a" { &mut there } else { &mut elsewhere }) += 1;
+            }
+        }
+    }
+    world.play();
+    let broken = &world.region.checker.broken;
+    assert!(broken.is_empty(), "seed {seed} breaks rules: {broken:#?}");
+    let unfinished = world.unfinished();
+    assert!(unfinished.is_empty(), "seed {seed} leaves undone: {unfinished:#?}");
+    eprintln!("seed {seed}: {there} there, {elsewhere} elsewhere");
+    (there, elsewhere)
+}
+
+/// Guards against what a fleet showed: 472 machines hired in a zone that was cut off, which cost money and served
+/// nothing until it came back.
+#[test]
+fn nothing_is_hired_where_nothing_reports() {
+    let (mut there, mut elsewhere) = (0, 0);
+    for seed in 0..6 + more_days() {
+        let (a, b) = hired_while_lost(seed, []);
+        there += a;
+        elsewhere += b;
+    }
+    assert!(there <= 4 && elsewhere > 6, "{there} hired in the lost zone, {elsewhere} elsewhere");
+}
+
+/// The next leader knows of the loss, though all machines there were returned before its time.
+#[test]
+fn a_takeover_does_not_hire_in_a_lost_zone() {
+    let (mut there, mut elsewhere) = (0, 0);
+    for seed in 100..106 + more_days() {
+        let crash = |node: usize| (LOST_AT + 45_000 + 15_000 * node as u64, Fault::Crash(node));
+        let (a, b) = hired_while_lost(seed, (0..3).map(crash));
+        there += a;
+        elsewhere += b;
+    }
+    assert!(there <= 12, "{there} hired in the lost zone, {elsewhere} elsewhere");
+}
