Zones: the next leader knows of few silent machines too, and one hire there is waited for

Cause: with two machines silent in a zone, a takeover forgot that only one at a time may be hired there, and a hired machine that was up and cut off did not count as on its way once the list had shown it.

Change: what leaders tell their peers includes zones with few silent machines, and a machine hired there lately counts until a boot and a lease have passed.

--- a/crates/core/src/reign/dispatch.rs
+++ b/crates/core/src/reign/dispatch.rs
@@ -6,7 +6,7 @@
     /// One placement pass; starts and stops are taken up, hires are left to the caller.
     pub(super) fn place(&mut self, settings: &Settings, desk: &CloudDesk, now: Mono) -> Plan {
         self.place_dirty = false;
-        let coming = self.coming(desk);
+        let coming = self.coming(settings, desk, now);
         let zones = &self.fleet.zones;
         let closed = |zone: &Zone| match zones.hires(zone) {
             Hires::AsNeeded => false,
--- a/crates/core/src/reign/machines.rs
+++ b/crates/core/src/reign/machines.rs
@@ -158,11 +158,20 @@
         }
     }
 
-    /// Zones in which a machine is on its way.
-    pub(super) fn coming(&self, desk: &CloudDesk) -> BTreeSet<Zone> {
-        let boots = |m: &&Machine| m.life == Life::Booting && m.listed_up.is_none();
-        let booting = self.fleet.machines.values().filter(boots).map(|m| m.zone.clone());
-        booting.chain(desk.awaited().map(|(kind, _)| kind.zone)).collect()
+    /// Zones in which a machine was hired lately that has not reported: it may be on its way, or up and cut off.
+    pub(super) fn coming(
+        &self,
+        settings: &Settings,
+        desk: &CloudDesk,
+        now: Mono,
+    ) -> BTreeSet<Zone> {
+        let lease_s = settings.facts.workers.lease_s;
+        let lately = |m: &&Machine| {
+            let boot_s = self.fleet.flavor(&m.flavor).map_or(0.0, |f| f.boot_s);
+            m.life == Life::Booting && now.since(m.born).secs() < boot_s * BOOT_SPREAD + lease_s
+        };
+        let hired = self.fleet.machines.values().filter(lately).map(|m| m.zone.clone());
+        hired.chain(desk.awaited().map(|(kind, _)| kind.zone)).collect()
     }
 
     /// In a zone that is lost nothing is hired as needed. What was wished for there and not asked for yet is let go;
--- a/crates/zones/src/lib.rs
+++ b/crates/zones/src/lib.rs
@@ -74,6 +74,9 @@
     pub zone: Zone,
     /// For how long it has been lost; `None`: it is on its way back.
     pub lost_ms: Option<u64>,
+    /// Whether its few machines are silent.
+    #[serde(default)]
+    pub mute: bool,
     /// Losses that count towards its way back.
     pub losses: u32,
     /// How long ago the last of them was, ms.
@@ -203,7 +206,8 @@
     /// What the next leader should know: without it a zone whose machines were all returned looks empty, not lost.
     pub fn told(&self, now: Mono) -> Vec<Told> {
         let shaken = |(_, state): &(&Zone, &State)| {
-            state.losses > 0 && now.since(state.last_loss) <= FLAP_SPAN_MS
+            let lately = state.losses > 0 && now.since(state.last_loss) <= FLAP_SPAN_MS;
+            lately || matches!(state.standing, Standing::Mute { .. })
         };
         let told = |(zone, state): (&Zone, &State)| Told {
             zone: zone.clone(),
@@ -211,6 +215,7 @@
                 Standing::Lost { since } => Some(now.since(since).0),
                 _ => None,
             },
+            mute: matches!(state.standing, Standing::Mute { .. }),
             losses: state.losses,
             last_ms: now.since(state.last_loss).0,
         };
@@ -223,12 +228,15 @@
         let ago = |ms: u64| Mono(noted.0.saturating_sub(ms));
         for told in told {
             let state = self.state(&told.zone);
-            state.losses = told.losses.max(1);
+            state.losses = told.losses;
             state.last_loss = ago(told.last_ms);
             if let Some(lost_ms) = told.lost_ms {
                 state.next_probe = ago(lost_ms).plus(PROBE_EVERY_MS);
                 let standing = Standing::Lost { since: ago(lost_ms) };
                 Self::enter(&told.zone, state, standing, "an earlier leader says so");
+            } else if told.mute {
+                let standing = Standing::Mute { heard: None };
+                Self::enter(&told.zone, state, standing, "an earlier leader says so");
             }
         }
     }
@@ -378,6 +386,12 @@
         assert!(next.take_probes(probe).is_empty(), "a rare single one");
         next.observe(&seen(all(4, 1_000_001), all(9, 1_000_001)), Mono(1_000_001));
         assert!(!next.lost(&zone("a")));
+        // So it is with few machines.
+        let mut zones = Zones::default();
+        zones.observe(&seen(mute(1), all(9, 10_000)), Mono(10_000));
+        let mut next = Zones::default();
+        next.recall(&zones.told(Mono(25_000)), Mono(1_000_000));
+        assert_eq!(next.hires(&zone("a")), Hires::OneAtATime);
         // A clock that has shown less than what is told of does no harm.
         Zones::default().recall(&told, Mono(3));
     }
