Controllers know of each other: membership by own words, third ones' and the leader's key

Need: relays, /up and users' questions each guessed for themselves who of the other controllers was there.

Change: crates/membership, deterministic, with a named state for each peer (unknown, alive, restarted, suspected, gone) and for the line to it. Notes of the leader and their answers carry words of who is there; those who heard nothing for 2 s are greeted, unless they are of an earlier version. Words from the past, the future, strangers, other versions or held back on the way are ignored, counted and said once. /up reads it, relays send stranded workers to a peer that hears the leader, questions of users do not wait for a line that is cut, and any peer's word on a higher leader's token counts.

Ruled out: a key for each member under a lease of its own (a renewal a second each, of 80 requests); taking late answers for a cut (a slow leader would not be asked for 2 s by anybody).

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -5,6 +5,7 @@
 use oatloom_graph::ids::GraphId;
 use oatloom_graph::requests::{Ask, Look};
 use oatloom_ledger::query::Query;
+use oatloom_membership::Gossip;
 use oatloom_protocol::constants::BODY_BYTES;
 use oatloom_protocol::ids::JobId;
 use oatloom_protocol::reply::HttpReply;
@@ -36,6 +37,8 @@
     Graph(Box<Ask>),
     /// From the leader, over the mesh only.
     Notes(Box<Notes>),
+    /// From a peer, over the mesh only.
+    Greet(Box<Gossip>),
 }
 
 fn submission(body: &[u8]) -> Submission {
--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -125,6 +125,14 @@
 /// A node whose store calls all failed for this long says so at `/up` if a peer is better off.
 pub const UP_STORE_SILENCE_MS: Millis = Millis(6_000);
 
+/// How often it is looked whom to greet: a quarter of the period of greetings.
+pub const GREET_LOOK_MS: Millis = Millis(500);
+/// How long an answer to what was only said is waited for; the mesh answers within milliseconds, or its connection is
+/// tried for about as long.
+pub const TOLD_PATIENCE_MS: Millis = Millis(1_500);
+/// How long a peer that did not answer is not asked for users: the state service is read at once instead.
+pub const CUT_PAUSE_MS: Millis = Millis(2_000);
+
 /// Period of the leader's notes to its peers.
 pub const NOTES_EVERY_MS: Millis = Millis(3_000);
 /// Machines whose images one note tells of: some 15 KB of a frame.
--- /dev/null
+++ b/crates/core/src/controller/members.rs
@@ -0,0 +1,130 @@
+//! Words between controllers on who of them is there, and what follows from them for the others' slices.
+
+use super::*;
+use oatloom_membership::{Gossip, Line, Own, Presence};
+
+impl Controller {
+    /// What this controller knows of the others; it begins to listen at its first event.
+    pub(super) fn members(&mut self, now: Now) -> &mut Membership {
+        let (me, rng) = (&self.settings.member, &mut self.rng);
+        let peers = self.settings.peers.iter().map(|peer| peer.member.clone());
+        self.membership.get_or_insert_with(|| Membership::new(me.clone(), peers, rng.random(), now))
+    }
+
+    /// What this controller says to a peer of itself and the others.
+    fn gossip(&mut self, now: Now, to: &Member) -> Gossip {
+        let ready = self.up(now.mono).status == 200;
+        let served = self.store.last_good();
+        let leading =
+            self.leadership.valid(now.mono).map(|token| (self.settings.member.clone(), token));
+        let known =
+            || Some((self.leadership.other_leader()?.clone(), self.leadership.leader_token()?));
+        let own = Own {
+            ready,
+            store_ms: (served > Mono(0)).then(|| now.mono.since(served).0),
+            leader: leading.or_else(known),
+        };
+        self.members(now).say(to, own, now)
+    }
+
+    /// Says something to those who have heard nothing for a while. What is said here is never waited for by others.
+    pub(super) fn greet(&mut self, now: Now) {
+        if now.mono < self.next_greet {
+            return;
+        }
+        self.next_greet = now.mono.plus(GREET_LOOK_MS);
+        // What is answered later than this is not waited for, and is no sign of a cut: its peer may be slow.
+        self.said.retain(|_, (_, until)| now.mono < *until);
+        for to in self.members(now).tick(now.mono) {
+            let gossip = self.gossip(now, &to);
+            self.tell(now.mono, to, Question::Greet(Box::new(gossip)));
+        }
+    }
+
+    /// Tells the other controllers what they would miss as leader.
+    pub(super) fn pass_notes(&mut self, now: Now) {
+        let mono = now.mono;
+        let ruling = self.reign.as_ref().is_some_and(|r| r.stage == Stage::Ruling);
+        if !ruling || !self.was_valid || mono < self.next_notes {
+            return;
+        }
+        self.next_notes = mono.plus(NOTES_EVERY_MS);
+        let Some(notes) = self.reign.as_mut().map(|reign| reign.notes(mono)) else { return };
+        let leader = Some(self.settings.member.clone());
+        let peers: Vec<Member> = self.settings.peers.iter().map(|p| p.member.clone()).collect();
+        for to in peers {
+            let gossip = Some(self.gossip(now, &to));
+            let notes = Notes { leader: leader.clone(), gossip, ..notes.clone() };
+            self.tell(mono, to, Question::Notes(Box::new(notes)));
+        }
+    }
+
+    fn tell(&mut self, now: Mono, to: Member, question: Question) {
+        self.next_id += 1;
+        self.said.insert(self.next_id, (to.clone(), now.plus(TOLD_PATIENCE_MS)));
+        self.out.push(Action::Ask { to, id: self.next_id, question });
+    }
+
+    /// Whether an answer was to something that was only said; `None`: none came.
+    pub(super) fn on_said(&mut self, now: Now, id: u64, reply: Option<&HttpReply>) -> bool {
+        let Some((peer, _)) = self.said.remove(&id) else { return false };
+        match reply {
+            None => self.members(now).unreachable(&peer, now.mono),
+            // An earlier version answers with nothing of use.
+            Some(reply) => {
+                if let Ok(gossip) = serde_json::from_str::<Gossip>(&reply.body) {
+                    self.on_gossip(now, &gossip);
+                }
+            }
+        }
+        true
+    }
+
+    /// Takes up what a peer says; what is said back.
+    pub(super) fn on_greeted(&mut self, now: Now, gossip: &Gossip) -> HttpReply {
+        self.on_gossip(now, gossip);
+        let back = self.gossip(now, &gossip.from);
+        HttpReply::json(200, &back)
+    }
+
+    fn on_gossip(&mut self, now: Now, gossip: &Gossip) {
+        if self.members(now).take(gossip, now).is_ok()
+            && let Some((leader, token)) = &gossip.leader
+        {
+            // That it led with this token was true when it was said, whoever says it.
+            self.leadership.heard(leader, *token);
+            self.follow_turns(now);
+        }
+    }
+
+    /// The leader's key is there: a path of its own by which its holder shows.
+    pub(super) fn saw_seat(&mut self, now: Now) {
+        if let Some(leader) = self.leadership.other_leader().cloned() {
+            self.members(now).key(&leader, true, now.mono);
+        }
+    }
+
+    /// Whether questions reach the peer at present, as far as the last one shows.
+    pub(super) fn reaches(&self, peer: &Member, now: Mono) -> bool {
+        let line = self.membership.as_ref().map(|members| members.line(peer));
+        !matches!(line, Some(Line::Cut { since }) if now.since(since) < CUT_PAUSE_MS)
+    }
+
+    /// Whether the state service serves another controller, by its own words.
+    pub(super) fn others_are_served(&self, now: Mono) -> bool {
+        let fresh = UP_STORE_SILENCE_MS.0;
+        self.membership.as_ref().is_some_and(|members| members.store_serves(fresh, now))
+    }
+
+    /// The controller through which a leader can be reached that neither a worker nor this controller reaches; the
+    /// first other one where nothing is known.
+    pub(super) fn way_round(&self, leader: &Member, now: Mono) -> Option<Member> {
+        let known = self.membership.as_ref().and_then(|members| members.through(leader, now));
+        let others = || self.settings.peers.iter().map(|p| &p.member).filter(|m| *m != leader);
+        let gone = |peer: &&Member| {
+            let members = self.membership.as_ref();
+            members.is_some_and(|m| matches!(m.presence(peer), Presence::Gone { .. }))
+        };
+        known.or_else(|| others().find(|peer| !gone(peer))).or_else(|| others().next()).cloned()
+    }
+}
--- a/crates/core/src/controller/mod.rs
+++ b/crates/core/src/controller/mod.rs
@@ -3,6 +3,7 @@
 
 mod graphs;
 mod leading;
+mod members;
 mod reports;
 mod usage;
 mod users;
@@ -28,6 +29,7 @@
 use oatloom_ledger::entry::Entry;
 use oatloom_ledger::query::Query;
 use oatloom_ledger::rollup::Cursor;
+use oatloom_membership::Membership;
 use oatloom_protocol::ids::*;
 use oatloom_protocol::reply::HttpReply;
 use oatloom_protocol::settings::Settings;
@@ -267,6 +269,10 @@
     next_notes: Mono,
     /// When a leader last answered a question of this node.
     last_told: Mono,
+    membership: Option<Membership>,
+    /// What was only said to peers: to whom, and until when an answer is waited for.
+    said: BTreeMap<u64, (Member, Mono)>,
+    next_greet: Mono,
     out: Vec<Action>,
 }
 
@@ -307,6 +313,9 @@
             notes: None,
             next_notes: Mono(0),
             last_told: Mono(0),
+            membership: None,
+            said: BTreeMap::new(),
+            next_greet: Mono(0),
             out: Vec::new(),
         }
     }
@@ -328,7 +337,7 @@
             open: self.open.len(),
             store: self.store.len(),
             cloud: self.cloud_ops.len() + self.desk.awaited().count(),
-            asks: self.asks.len(),
+            asks: self.asks.len() + self.said.len(),
             parked: self.parked.len(),
             unwritten: self.reign.as_ref().map_or(0, |reign| {
                 let graphs = reign.graphs.as_ref().map_or(0, |desk| desk.sizes().2);
@@ -387,7 +396,8 @@
             let traffic = std::mem::take(&mut self.traffic);
             log::debug!("traffic: {traffic:?}, {} waiting", self.open.len());
         }
-        self.pass_notes(mono);
+        self.pass_notes(now);
+        self.greet(now);
         self.learn_account(mono);
         self.turn_graphs(now);
         self.write(now);
@@ -406,22 +416,6 @@
         self.send(sends);
     }
 
-    /// Tells the other controllers what they would miss as leader; no answer is waited for.
-    fn pass_notes(&mut self, now: Mono) {
-        let Some(reign) = self.reign.as_mut().filter(|r| r.stage == Stage::Ruling) else { return };
-        if !self.was_valid || now < self.next_notes {
-            return;
-        }
-        self.next_notes = now.plus(NOTES_EVERY_MS);
-        let notes = Notes { leader: Some(self.settings.member.clone()), ..reign.notes(now) };
-        for peer in &self.settings.peers {
-            self.next_id += 1;
-            let question = Question::Notes(Box::new(notes.clone()));
-            let to = peer.member.clone();
-            self.out.push(Action::Ask { to, id: self.next_id, question });
-        }
-    }
-
     fn catalog(&self) -> Option<&oatloom_protocol::wire::Catalog> {
         match &self.reign {
             Some(reign) => reign.fleet.catalog.as_ref(),
@@ -488,6 +482,9 @@
             Purpose::Lead { ask, sent } => {
                 let random = self.rng.random::<u64>() >> 12;
                 let asks = self.leadership.answered(now.mono, &ask, sent, &reply, random);
+                if matches!((&ask, &reply), (Ask::Read, StoreReply::Found(_))) {
+                    self.saw_seat(now);
+                }
                 self.follow_turns(now);
                 self.lead_asks(now.mono, asks);
             }
--- a/crates/core/src/controller/reports.rs
+++ b/crates/core/src/controller/reports.rs
@@ -55,8 +55,7 @@
             }
             Way::SendOn => Some(HttpReply::json(421, &Redirect { leader: Some(leader) })),
             Way::Elsewhere => {
-                let third = self.settings.peers.iter().find(|p| p.member != leader);
-                let leader = third.map(|peer| peer.member.clone());
+                let leader = self.way_round(&leader, now);
                 Some(HttpReply::json(421, &Redirect { leader }))
             }
             Way::Wait => Some(HttpReply::error(503, "the leader takes no reports at present")),
--- a/crates/core/src/controller/users.rs
+++ b/crates/core/src/controller/users.rs
@@ -30,9 +30,17 @@
                     self.leadership.heard(leader, notes.token);
                     self.follow_turns(now);
                 }
+                let reply = match &notes.gossip {
+                    Some(gossip) => self.on_greeted(now, gossip),
+                    None => HttpReply::json(200, &serde_json::json!({})),
+                };
                 let told = self.notes.take().map(|(_, told)| told);
                 self.notes = Some((now.mono, Notes::joined(told, *notes)));
-                self.reply(conn, HttpReply::json(200, &serde_json::json!({})));
+                self.reply(conn, reply);
+            }
+            Request::Greet(gossip) => {
+                let reply = self.on_greeted(now, &gossip);
+                self.reply(conn, reply);
             }
             _ if self.open.len() > USER_INFLIGHT => {
                 self.traffic.users += 1;
@@ -62,8 +70,9 @@
         let reached = self.store.last_good() > Mono(0);
         let mute = now.since(self.store.last_good()) > UP_STORE_SILENCE_MS;
         // Every node is refused in an outage, and then none is better than another. A leader that
-        // still answers after so long shows that this node alone is refused.
-        let alone = mute && now.since(self.last_told) < UP_TOLD_MS;
+        // still answers after so long, or a peer that is served, shows that this node alone is refused.
+        let told = now.since(self.last_told) < UP_TOLD_MS;
+        let alone = mute && (told || self.others_are_served(now));
         if self.catalog().is_none() || !reached {
             HttpReply::later("starting")
         } else if alone {
@@ -242,6 +251,7 @@
         if !forwarded
             && self.leadership.token().is_none()
             && let Some(leader) = self.leadership.other_leader().cloned()
+            && self.reaches(&leader, now.mono)
         {
             return self.ask(now.mono, conn, leader, question);
         }
@@ -256,7 +266,7 @@
         match question {
             Question::View(id) => self.lookup(now, conn, id, Why::View),
             Question::Abort(id) => self.lookup(now, conn, id, Why::Abort),
-            Question::Notes(_) => {}
+            Question::Notes(_) | Question::Greet(_) => {}
             Question::Graph(ask) => self.look_graph(now, conn, *ask),
             Question::Submit(_) => {
                 self.reply(conn, HttpReply::later("the state service cannot be reached"));
@@ -267,9 +277,19 @@
     }
 
     pub(super) fn on_told(&mut self, now: Now, id: u64, reply: Option<HttpReply>) {
-        let Some((conn, question, _)) = self.asks.remove(&id) else {
+        if self.on_said(now, id, reply.as_ref()) {
+            return;
+        }
+        let Some((conn, question, until)) = self.asks.remove(&id) else {
             return;
         };
+        // One that is late is slow as likely as cut off.
+        if reply.is_none()
+            && now.mono < until
+            && let Some(leader) = self.leadership.other_leader().cloned()
+        {
+            self.members(now).unreachable(&leader, now.mono);
+        }
         if matches!(question, Question::Report(_)) {
             self.relays.told(reply.as_ref().map(|reply| reply.status), now.mono);
         }
@@ -288,7 +308,7 @@
             return;
         };
         match question {
-            Question::Report(_) | Question::Notes(_) => {}
+            Question::Report(_) | Question::Notes(_) | Question::Greet(_) => {}
             Question::Submit(_) | Question::Graph(_) => {}
             Question::View(id) => match (reign.book.view(&id), reign.book.get(&id)) {
                 (Some(view), _) => self.reply(conn, HttpReply::json(200, &view)),
--- a/crates/core/src/mesh.rs
+++ b/crates/core/src/mesh.rs
@@ -4,6 +4,7 @@
 use crate::api::{Request, Submission};
 use crate::notes::Notes;
 use oatloom_graph::requests::Ask;
+use oatloom_membership::Gossip;
 use oatloom_protocol::ids::JobId;
 use oatloom_protocol::reply::HttpReply;
 use oatloom_protocol::wire::{JobSpec, Report};
@@ -21,6 +22,9 @@
     Notes(Box<Notes>),
     /// What a client of graphs asks.
     Graph(Box<Ask>),
+    /// Not a question either: who is there, said to those who have heard nothing for a while. Only to those who speak
+    /// so themselves: earlier versions would not understand it.
+    Greet(Box<Gossip>),
 }
 
 impl From<Question> for Request {
@@ -32,6 +36,7 @@
             Question::Report(report) => Self::Report(report),
             Question::Notes(notes) => Self::Notes(notes),
             Question::Graph(ask) => Self::Graph(ask),
+            Question::Greet(gossip) => Self::Greet(gossip),
         }
     }
 }
--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -1,6 +1,7 @@
 //! What a leader tells its peers so that the next one knows it too.
 
 use crate::constants::NOTES_MACHINES_KEPT;
+use oatloom_membership::Gossip;
 use oatloom_protocol::ids::{HostId, Member, Token};
 use oatloom_protocol::wire::JobSpec;
 use oatloom_zones::Told;
@@ -20,6 +21,9 @@
     pub shown: Vec<(String, f64)>,
     /// For each class its latest job, and how long ago (ms) its jobs came.
     pub arrivals: Vec<(JobSpec, Vec<u64>)>,
+    /// What the leader says of itself and the other controllers.
+    #[serde(default)]
+    pub gossip: Option<Gossip>,
     /// Zones that are lost, or were lately.
     #[serde(default)]
     pub zones: Vec<Told>,
--- a/crates/core/src/reign/mod.rs
+++ b/crates/core/src/reign/mod.rs
@@ -223,6 +223,7 @@
             images,
             shown: self.shown.iter().map(|(class, bias)| (class.clone(), bias.mean)).collect(),
             arrivals: arrivals.into_values().collect(),
+            gossip: None,
             zones: self.fleet.zones.told(now),
         }
     }
--- /dev/null
+++ b/tests/members.rs
@@ -0,0 +1,76 @@
+//! What controllers know of each other, where it matters: several of them that restart, are refused by the state service
+//! alone, or end together.
+
+#[allow(dead_code)]
+mod world;
+
+use world::{Fault, World};
+
+/// The share of probes that each node answered with 200, between two moments.
+fn healthy(world: &World, from: u64, to: u64) -> [f64; 3] {
+    let mut counts = [(0.0, 0.0); 3];
+    for (at, node, status) in &world.probes {
+        if (from..to).contains(at) {
+            counts[*node].0 += f64::from(u8::from(*status == 200));
+            counts[*node].1 += 1.0;
+        }
+    }
+    counts.map(|(good, all)| if all > 0.0 { good / all } else { 0.0 })
+}
+
+/// Guards against a controller that the state service alone refuses and that says that it is up: users were sent to it
+/// who had asked it nothing that it could have passed on, so that it learnt nothing of the others' fortune.
+#[test]
+fn one_that_is_refused_alone_says_so_though_nobody_asks_it_anything() {
+    for (seed, node) in (0..6).flat_map(|seed| (0..3).map(move |node| (seed, node))) {
+        let faults = vec![(40_000, Fault::Refused(node, 40_000))];
+        let mut world = World::scripted(seed, faults, 90_000, None);
+        world.alone();
+        world.probing = true;
+        world.play_to(90_000);
+        let before = healthy(&world, 10_000, 40_000);
+        assert!(before.iter().all(|share| *share > 0.95), "seed {seed}: {before:?}");
+        let during = healthy(&world, 54_000, 78_000);
+        for (other, share) in during.iter().enumerate() {
+            let right = if other == node { *share < 0.05 } else { *share > 0.95 };
+            assert!(right, "seed {seed}, {node} refused: {during:?}");
+        }
+        let after = healthy(&world, 86_000, 90_000);
+        assert!(after[node] > 0.7, "seed {seed}: {after:?}");
+    }
+}
+
+/// In an outage none is better than another, and none says that it cannot take requests.
+#[test]
+fn in_an_outage_all_stay_up() {
+    for seed in 0..4 {
+        let faults = vec![(40_000, Fault::StoreOutage(30_000))];
+        let mut world = World::scripted(seed, faults, 90_000, None);
+        world.alone();
+        world.probing = true;
+        world.play_to(90_000);
+        let during = healthy(&world, 42_000, 70_000);
+        assert!(during.iter().all(|share| *share > 0.95), "seed {seed}: {during:?}");
+    }
+}
+
+/// Controllers that restart in turn and two at once, again and again: the rules hold, and all work is done.
+#[test]
+fn restarts_in_turn_and_two_at_once_keep_the_rules() {
+    for seed in 0..6 {
+        let mut faults = Vec::new();
+        for n in 0..10_u64 {
+            let at = 6_000 + n * 9_000;
+            faults.push((at, Fault::Crash(n as usize % 3)));
+            if n % 3 == 2 {
+                faults.push((at + 50, Fault::Crash((n as usize + 1) % 3)));
+            }
+        }
+        let mut world = World::scripted(seed, faults, 120_000, None);
+        world.play();
+        let broken = &world.region.checker.broken;
+        assert!(broken.is_empty(), "seed {seed} breaks rules: {broken:#?}");
+        let unfinished = world.unfinished();
+        assert!(unfinished.is_empty(), "seed {seed} leaves undone: {unfinished:#?}");
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -98,6 +98,8 @@
     },
     /// A client of graphs, and the number of its request.
     Client(usize, u64),
+    /// A load balancer's probe.
+    Probe,
 }
 
 enum Message {
@@ -211,6 +213,9 @@
     store_loses_until: u64,
     /// Whether what a cut holds back may come while it lasts; else it never does.
     pub leaky: bool,
+    /// Whether the load balancer probes each node once a second, and what it was told: when, which node, the status.
+    pub probing: bool,
+    pub probes: Vec<(u64, usize, u16)>,
     /// How long a node that crashed is away.
     pub restart_ms: u64,
     /// What the controllers' operators have set.
@@ -302,6 +307,8 @@
             cloud_late: (0, 0),
             store_loses_until: 0,
             leaky: true,
+            probing: false,
+            probes: Vec::new(),
             restart_ms: 5_000,
             operators: Operators::default(),
             entries: Vec::new(),
@@ -690,6 +697,7 @@
                 user.accepted |= good;
                 user.aborted |= abort && good;
             }
+            From::Probe => self.probes.push((now, node, reply.status)),
             From::Worker { host, report, sent } => {
                 let cut = |w: &Worker| now < w.cut_until || self.apart(node, &w.place.zone);
                 if !self.region.workers.get(&host).is_some_and(cut) {
@@ -858,6 +866,17 @@
             let delay = self.delay();
             self.send(delay, Message::Request { node, from, request, forwarded: false });
         }
+        if self.probing && now.is_multiple_of(1_000) {
+            for node in 0..3 {
+                let ask = Message::Request {
+                    node,
+                    from: From::Probe,
+                    request: Request::Up,
+                    forwarded: false,
+                };
+                self.send(2, ask);
+            }
+        }
         if now.is_multiple_of(7_000) {
             let job = "req-999999".to_owned();
             let request = Request::View(JobId::new(&job));
