--- a/crates/explorer/src/lib.rs
+++ b/crates/explorer/src/lib.rs
@@ -26,7 +26,7 @@
 /// How far to go.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
-    /// Distinct states after which it ends with the level at hand.
+    /// Distinct states after which it ends; those that follow on the slice at hand are looked at still.
     pub states: usize,
     /// Steps from the start.
     pub depth: usize,
@@ -121,6 +121,10 @@
                     next_level.push((next.state, next.digest));
                 }
             }
+            // The level after this one would be too large to keep.
+            if known.len() >= bounds.states {
+                break;
+            }
         }
         if !next_level.is_empty() {
             report.depth += 1;
@@ -128,7 +132,7 @@
         level = next_level;
     }
     report.states = known.len();
-    report.whole = level.is_empty();
+    report.whole = level.is_empty() && known.len() < bounds.states;
     report
 }
 
--- a/crates/shares/tests/explorer.rs
+++ b/crates/shares/tests/explorer.rs
@@ -93,6 +93,53 @@
     },
 }
 
+/// What is under way, each message once, in order: as small as can be, since millions of states are kept.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+struct Flight(Vec<Message>);
+
+impl Flight {
+    /// Whether it was not there yet.
+    fn insert(&mut self, message: Message) -> bool {
+        let place = self.0.binary_search(&message);
+        if let Err(place) = place {
+            self.0.reserve_exact(1);
+            self.0.insert(place, message);
+        }
+        place.is_err()
+    }
+
+    /// Whether it was there.
+    fn remove(&mut self, message: &Message) -> bool {
+        let place = self.0.binary_search(message);
+        if let Ok(place) = place {
+            self.0.remove(place);
+        }
+        place.is_ok()
+    }
+
+    fn contains(&self, message: &Message) -> bool {
+        self.0.binary_search(message).is_ok()
+    }
+
+    fn iter(&self) -> impl Iterator<Item = &Message> {
+        self.0.iter()
+    }
+
+    fn retain(&mut self, keep: impl FnMut(&Message) -> bool) {
+        self.0.retain(keep);
+    }
+
+    fn take(&mut self) -> Vec<Message> {
+        std::mem::take(&mut self.0)
+    }
+
+    fn map(&mut self, change: impl FnMut(&mut Message)) {
+        self.0.iter_mut().for_each(change);
+        self.0.sort_unstable();
+        self.0.dedup();
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 enum Open {
     Nothing,
@@ -127,7 +174,7 @@
     revision: Token,
     leases: BTreeSet<(u8, u8)>,
     nodes: Vec<Node>,
-    flight: BTreeSet<Message>,
+    flight: Flight,
     /// Highest token that each share's worker has seen.
     workers: [Token; 2],
     budget: Budget,
@@ -200,7 +247,7 @@
             revision: Token(1),
             leases: (0..self.nodes).map(|n| (n, 0)).collect(),
             nodes: (0..self.nodes).map(node).collect(),
-            flight: BTreeSet::new(),
+            flight: Flight::default(),
             workers: [Token(0); 2],
             budget: self.budget,
         };
@@ -390,17 +437,14 @@
                 let order: Vec<u32> = known.into_iter().collect();
                 let rank = |number: u32| order.binary_search(&number).expect("collected") as u32;
                 *last = rank(*last);
-                let flight = std::mem::take(&mut state.flight).into_iter().map(|mut message| {
-                    let number = mine(&message);
-                    if let Message::Write { attempt, .. } | Message::Reply { attempt, .. } =
-                        &mut message
+                state.flight.map(|message| {
+                    let number = mine(message);
+                    if let Message::Write { attempt, .. } | Message::Reply { attempt, .. } = message
                         && let Some(number) = number
                     {
                         *attempt = rank(number);
                     }
-                    message
                 });
-                state.flight = flight.collect();
             }
         }
     }
@@ -419,23 +463,19 @@
                 desk.relabel(&mut *label);
             }
         }
-        let flight = std::mem::take(&mut state.flight).into_iter().map(|mut message| {
-            match &mut message {
-                Message::Write { condition: Some(Some(token)), .. }
-                | Message::Reply { written: Some(token), .. }
-                | Message::Offer { token, .. }
-                | Message::Record { fence: token, .. } => label(token),
-                Message::Shown { row, seen, .. } => {
-                    label(seen);
-                    if let Some(row) = row {
-                        label(&mut row.token);
-                    }
+        state.flight.map(|message| match message {
+            Message::Write { condition: Some(Some(token)), .. }
+            | Message::Reply { written: Some(token), .. }
+            | Message::Offer { token, .. }
+            | Message::Record { fence: token, .. } => label(token),
+            Message::Shown { row, seen, .. } => {
+                label(seen);
+                if let Some(row) = row {
+                    label(&mut row.token);
                 }
-                _ => {}
             }
-            message
+            _ => {}
         });
-        state.flight = flight.collect();
     }
 
     fn restart(&self, state: &mut State, n: u8) {
@@ -465,7 +505,7 @@
     fn deaf(&self, state: &State) -> Vec<ShareId> {
         let mut state = state.clone();
         for round in 0..14 {
-            for message in std::mem::take(&mut state.flight) {
+            for message in state.flight.take() {
                 self.deliver(&mut state, message);
             }
             for n in 0..self.nodes {
@@ -539,11 +579,11 @@
                     }
                 }
             }
-            for message in std::mem::take(&mut state.flight) {
+            for message in state.flight.take() {
                 self.deliver(&mut state, message);
             }
         }
-        state.flight.clear();
+        state.flight.take();
         Self::settle(&mut state);
         state
     }
