Replicas of a lost zone go where their image is; room given away in a pass is kept for nobody

And a machine was kept for a job for room that the same pass had given to another, with nothing on it stopped: the job then waited out the 20 s.

Change: a service that was up, and whose fetch would take over 25 s, has work of lower rank stopped on a machine with its image, or waits for half the fetch, 25 s at most, for room there. What was kept for a replica is let go once it is placed. Room that could be made is reckoned from what the pass has left of a machine.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -245,6 +245,17 @@
 pub const PLACE_BATCH: usize = 200;
 /// Searches in one pass for work that could make room: each looks at every task on every machine.
 pub const MAKE_ROOM_MOST: usize = 8;
+/// Searches in one pass for work that could make room where the image of a replica is that is down: they pass over most
+/// machines, and after the loss of a zone there are some hundred of them at once.
+pub const IMAGE_SEARCHES_MOST: usize = 40;
+/// A replica that is down takes the first room there is if its image is there within this, in seconds: stopping another
+/// task takes two reports, and both lose work. With fetches of 14 s it was up no sooner elsewhere, with 50 s it was.
+pub const DOWN_FETCH_S: f64 = 25.0;
+/// How long after its loss a replica waits for room where its image is rather than fetch it, at most, in seconds, and as a
+/// part of the fetch: in so long some task ends on most machines, and it costs half as much again as fetching at once if
+/// none does.
+pub const DOWN_WAIT_S: f64 = 25.0;
+pub const DOWN_WAIT_PART: f64 = 0.5;
 /// What such a search costs per machine, in looks at a machine.
 pub const VICTIM_STEPS: u64 = 8;
 /// Processor time of one look at a machine in a placement pass, in nanoseconds, measured on a
--- a/crates/core/src/jobs/job.rs
+++ b/crates/core/src/jobs/job.rs
@@ -113,6 +113,10 @@
     pub held: u32,
     pub zones: BTreeMap<Zone, u32>,
     pub gang: Gang,
+    /// Whether all its tasks were seen running at once: of a service, that it was up.
+    pub up: bool,
+    /// When one of its tasks was last lost.
+    pub lost_at: Mono,
     pub cost: Kalman,
     pub measured: Measurement,
     pub errors: u32,
@@ -157,6 +161,8 @@
             held: 0,
             zones: BTreeMap::new(),
             gang: Gang::Idle,
+            up: false,
+            lost_at: Mono(0),
             cost: Kalman::default(),
             measured: Measurement::default(),
             errors: 0,
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -123,7 +123,11 @@
     /// Where this pass has started tasks of a job: guards against an array's second turn in a pass
     /// placing as if its first had not been.
     started: BTreeMap<JobId, BTreeMap<Zone, u32>>,
+    /// What this pass has started on machines.
+    given: BTreeMap<&'a HostId, Room>,
     searches: usize,
+    /// Searches for work that could make room where an image is.
+    image_searches: usize,
     plan: Plan,
 }
 
@@ -153,7 +157,9 @@
         yard: Yard::new(fleet, &awaited, settings.facts.workers.report_s, now),
         usage: book.usage.clone(),
         started: BTreeMap::new(),
+        given: BTreeMap::new(),
         searches: 0,
+        image_searches: 0,
         plan: Plan::default(),
     };
     // Arrays get what their rates allow first, then what is left idle.
@@ -278,6 +284,7 @@
     fn start(&mut self, job: &Job, index: u32, at: usize) {
         let Some(machine) = self.yard.slots[at].machine else { return };
         self.plan.starts.push((job.spec.id.clone(), index, machine.id.clone()));
+        self.given.entry(&machine.id).or_default().add(&Room::from(&*job.spec));
         let zones = self.started.entry(job.spec.id.clone()).or_default();
         *zones.entry(machine.zone.clone()).or_default() += 1;
     }
@@ -289,7 +296,18 @@
         let mut places = Places::new(self, &need, self.zones(job), None);
         let mut wanting = false;
         let mut urgent = None;
+        let down = job.spec.shape == Shape::Service && job.up;
         for index in tasks.iter().take(most) {
+            // Guards against a replica that was up and now waits for its image for a minute, while machines that have it
+            // run work of lower rank.
+            if down && let Some(at) = places.look(self, &need) {
+                let fetch_s = self.yard.fetch_s(at, &need);
+                if fetch_s > DOWN_FETCH_S
+                    && (self.make_room_at_image(&need, book) || self.image_may_come(&need, fetch_s))
+                {
+                    break;
+                }
+            }
             if let Some(at) = places.live(self, &need) {
                 self.start(job, *index, at);
                 continue;
@@ -305,7 +323,7 @@
                 break;
             }
         }
-        if wanting {
+        if wanting && !(down && self.make_room_at_image(&need, book)) {
             self.make_room(&need, book, owed, &[None]);
         }
     }
--- a/crates/core/src/placement/places.rs
+++ b/crates/core/src/placement/places.rs
@@ -31,6 +31,13 @@
         }
     }
 
+    /// The best live slot, which is left where it is.
+    pub(super) fn look(&mut self, pass: &mut Pass, need: &Need) -> Option<usize> {
+        let at = pass.yard.best(&mut self.search, need, &self.mask, When::Live)?;
+        pass.yard.offer(&mut self.search, at, need);
+        Some(at)
+    }
+
     /// The best live slot, which is taken.
     pub(super) fn live(&mut self, pass: &mut Pass, need: &Need) -> Option<usize> {
         self.live_scored(pass, need).map(|(at, _)| at)
--- a/crates/core/src/placement/room.rs
+++ b/crates/core/src/placement/room.rs
@@ -57,6 +57,56 @@
         }
         self.searches += 1;
         self.plan.steps += VICTIM_STEPS * self.fleet.machines.len() as u64;
+        self.clear(need, book, owed, sites, |_| true)
+    }
+
+    /// Stops tasks of lower rank on a machine that has the image of a replica which is down. Says whether room is being
+    /// made.
+    pub(super) fn make_room_at_image(&mut self, need: &Need, book: &Book) -> bool {
+        let (id, image) = (&need.job.spec.id, &need.job.spec.image);
+        if self.plan.reserve.iter().any(|(_, j)| j == id) {
+            return true;
+        }
+        if self.yard.kept_for(id) {
+            // Guards against waiting for one that was kept while none with the image could be had.
+            let kept = |m: &Machine| m.reserved.as_ref().is_some_and(|(j, _)| j == id);
+            return self.fleet.machines.values().any(|m| kept(m) && m.has_image(image));
+        }
+        if self.image_searches >= IMAGE_SEARCHES_MOST {
+            return false;
+        }
+        self.image_searches += 1;
+        self.plan.steps += self.fleet.machines.len() as u64;
+        self.clear(need, book, false, &[None], |m| m.has_image(image))
+    }
+
+    /// Whether a replica that is down does better to wait for room where its image is than to fetch it: tasks end there
+    /// as everywhere, and it is the first to get their room. For a part of what the fetch takes only.
+    pub(super) fn image_may_come(&mut self, need: &Need, fetch_s: f64) -> bool {
+        let job = need.job;
+        let wait_s = DOWN_WAIT_S.min(fetch_s * DOWN_WAIT_PART);
+        if self.now.since(job.lost_at).secs() >= wait_s {
+            return false;
+        }
+        self.plan.steps += self.fleet.machines.len() as u64;
+        self.fleet.machines.values().any(|m| {
+            m.has_image(&job.spec.image)
+                && usable(self.fleet, m, self.now)
+                && need.allows(&m.flavor, &m.zone, m.spot)
+                && need.zone_open(&m.zone, &job.zones)
+        })
+    }
+
+    /// Has the tasks stopped whose end costs least on machines for which `which` holds, and keeps those for the job.
+    fn clear(
+        &mut self,
+        need: &Need,
+        book: &Book,
+        owed: bool,
+        sites: &[Option<Zone>],
+        which: impl Fn(&Machine) -> bool,
+    ) -> bool {
+        let job = need.job;
         let count = if job.spec.shape == Shape::Gang { job.spec.tasks as usize } else { 1 };
         let started: BTreeSet<&HostId> = self.plan.starts.iter().map(|(_, _, h)| h).collect();
         let mut offers: Vec<Offer> = Vec::new();
@@ -64,6 +114,7 @@
             let taken = m.reserved.as_ref().is_some_and(|(_, until)| self.now < *until)
                 || self.plan.reserve.iter().any(|(h, _)| *h == m.id);
             if !usable(self.fleet, m, self.now)
+                || !which(m)
                 || taken
                 || count > 1 && started.contains(&m.id)
                 || job.avoids(&m.id)
@@ -116,7 +167,12 @@
         most: usize,
         offers: &mut Vec<Offer<'m>>,
     ) {
+        // Guards against keeping a machine as it is for room that this very pass has given away: the job then waited for
+        // it until the time to keep it was over.
         let mut free = self.fleet.free_room(m);
+        if let Some(given) = self.given.get(&m.id) {
+            free.take(given);
+        }
         let mut candidates: Vec<(f64, &TaskId, &Room)> = Vec::new();
         for (task, room) in &m.held {
             let Some(victim) = book.get(&task.job) else {
--- a/crates/core/src/placement/slots.rs
+++ b/crates/core/src/placement/slots.rs
@@ -391,20 +391,30 @@
         self.slots[at].machine.is_some_and(|m| m.has_image(image))
     }
 
-    /// What a task of the job makes of a slot.
-    pub fn score_of(&self, need: &Need, at: usize) -> f64 {
-        self.score(need, &self.slots[at])
+    /// Seconds that the job's image takes to a slot, those that are on their way there included.
+    pub fn fetch_s(&self, at: usize, need: &Need) -> f64 {
+        self.fetch_to(need, &self.slots[at])
     }
 
-    /// Lower is better: a fetch costs its time, then the tightest fit wins.
-    fn score(&self, need: &Need, slot: &Slot) -> f64 {
+    fn fetch_to(&self, need: &Need, slot: &Slot) -> f64 {
         let spec: &JobSpec = &need.job.spec;
         let cached = slot.machine.is_some_and(|m| m.has_image(&spec.image));
         // Images fetched at the same time share the rate.
         let known = slot.fetching.iter().any(|(name, _)| *name == spec.image);
         let ahead: f64 = slot.fetching.iter().map(|(_, gb)| gb).sum();
         let gb = if known { ahead } else { ahead + spec.image_gb };
-        let fetch_s = if cached || slot.fetch <= 0.0 { 0.0 } else { gb / slot.fetch };
+        if cached || slot.fetch <= 0.0 { 0.0 } else { gb / slot.fetch }
+    }
+
+    /// What a task of the job makes of a slot.
+    pub fn score_of(&self, need: &Need, at: usize) -> f64 {
+        self.score(need, &self.slots[at])
+    }
+
+    /// Lower is better: a fetch costs its time, then the tightest fit wins.
+    fn score(&self, need: &Need, slot: &Slot) -> f64 {
+        let spec: &JobSpec = &need.job.spec;
+        let fetch_s = self.fetch_to(need, slot);
         let mut left = slot.free;
         left.take(&need.room);
         let spare = left.share_of(&slot.whole);
--- a/crates/core/src/reign/dispatch.rs
+++ b/crates/core/src/reign/dispatch.rs
@@ -114,6 +114,12 @@
             if machine.life == Life::Closing {
                 machine.enter(Life::Live, "needed again");
             }
+            // Its room was made for this very task; kept on, it would keep the next replica waiting.
+            if spec.shape == Shape::Service
+                && machine.reserved.as_ref().is_some_and(|(job, _)| job == id)
+            {
+                machine.reserved = None;
+            }
         }
         log::debug!("task {id}/{index}: assigned to {host}");
     }
--- a/crates/core/src/reign/reports.rs
+++ b/crates/core/src/reign/reports.rs
@@ -174,6 +174,9 @@
     /// A task is proven gone without having ended in order.
     pub(super) fn lost(&mut self, id: &JobId, index: u32, now: Mono) {
         self.account(id, index, End::Unseen, (false, None), now);
+        if let Some(job) = self.book.jobs.get_mut(id) {
+            job.lost_at = now;
+        }
         self.free(id, index, false, now);
         if matches!(self.book.get(id).map(|j| j.gang), Some(Gang::Running(_))) {
             self.clear_gang(id, "a task was lost", now);
@@ -298,7 +301,8 @@
             return;
         };
         hold.told_ms = row.ran_ms.or(hold.told_ms);
-        if hold.phase != Some(phase) {
+        let turned = hold.phase != Some(phase);
+        if turned {
             log::debug!("task {task}: {phase:?} on {}", report.host);
             hold.phase = Some(phase);
         }
@@ -319,6 +323,16 @@
                 Order::Stop { task: task.to_string(), attempt, grace_s: stop.grace_s },
             );
         }
+        if turned && phase == TaskPhase::Running {
+            self.all_run(&task.job);
+        }
+    }
+
+    /// Notes that all tasks of a job run at once, if they do.
+    fn all_run(&mut self, id: &JobId) {
+        let Some(job) = self.book.jobs.get_mut(id) else { return };
+        let running = |(_, hold): (u32, &Hold)| hold.phase == Some(TaskPhase::Running);
+        job.up |= job.held == job.spec.tasks && job.holds().all(running);
     }
 
     /// A held task has ended, as a report later than its start shows.
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -4,7 +4,7 @@
 use oatloom_core::cloud::Kind;
 use oatloom_core::jobs::{Book, Hold, Job, LiveRecord, RunSent};
 use oatloom_core::placement::{self, Inputs, Plan};
-use oatloom_core::workers::{Fleet, Life, Room};
+use oatloom_core::workers::{Fleet, Image, Life, Room};
 use oatloom_protocol::ids::{Attempt, HostId, JobId, Millis, Mono, Now, Revision, Shift, Zone};
 use oatloom_protocol::settings::Settings;
 use oatloom_protocol::wire::{Catalog, Flavor, JobSpec, Rank, Shape};
@@ -269,3 +269,87 @@
     assert_eq!(plan.hires.len(), 8);
     assert!(zones.values().all(|count| count % 4 == 0), "{zones:?}");
 }
+
+/// A book of one-task jobs of this shape, rank and image, and tasks of a GPU.
+fn add(book: &mut Book, n: usize, shape: Shape, rank: Rank, tasks: u32, image: &str) -> JobId {
+    let service = shape == Shape::Service;
+    let spec = JobSpec {
+        id: JobId::new(&format!("req-{n:06}")),
+        class: if service { "quick" } else { "many" }.into(),
+        team: "red".into(),
+        shape,
+        rank,
+        tasks,
+        cpus: 10.0,
+        gpus: 1.0,
+        memory_gb: 36.0,
+        image: image.into(),
+        image_gb: 20.0,
+        flavors: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: false,
+        estimate_s: if service { 0.0 } else { 60.0 },
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    };
+    let (id, now) = (spec.id.clone(), Now { mono: NOW, wall_ms: 5_000 });
+    book.insert(LiveRecord { spec, wall_ms: 1_000, part: None }, Revision(1), now);
+    id
+}
+
+/// Guards against a machine kept for a job for room that the same pass had given to another: the job waited for it until
+/// the time to keep it was over, 20 s, while nothing on it was to end.
+#[test]
+fn room_that_a_pass_gave_away_is_kept_for_nobody() {
+    let settings = settings();
+    // Only ordinary machines take these jobs: one, of four GPUs.
+    let fleet = fleet(2);
+    let mut book = Book::default();
+    let first = add(&mut book, 1, Shape::Service, Rank::Critical, 4, "img-1");
+    let second = add(&mut book, 2, Shape::Service, Rank::High, 1, "img-2");
+    let plan = pass(&settings, &mut book, &fleet, false);
+    assert_eq!(plan.starts.iter().filter(|(id, ..)| *id == first).count(), 4);
+    assert!(plan.starts.iter().all(|(id, ..)| *id != second));
+    assert!(plan.reserve.is_empty() && plan.stops.is_empty(), "{:?}", plan.reserve);
+}
+
+/// Guards against replicas of a lost zone that waited a minute and more for their image on the first room that fell free,
+/// while machines that had it ran work of lower rank. One that was never up takes the first room as before.
+#[test]
+fn a_replica_that_was_up_goes_where_its_image_is() {
+    let settings = settings();
+    for was_up in [true, false] {
+        let mut fleet = fleet(4);
+        let mut book = Book::default();
+        let array = add(&mut book, 1, Shape::Array, Rank::Standard, 4, "img-1");
+        let service = add(&mut book, 2, Shape::Service, Rank::Critical, 1, "img-2");
+        let (with_image, free) = (HostId::new("i-000001"), HostId::new("i-000003"));
+        let machine = fleet.machines.get_mut(&with_image).expect("a known machine");
+        machine.recall(vec![Image { name: "img-2".into(), gb: 20.0, ready: true }]);
+        let starts = (0..4).map(|index| (array.clone(), index, with_image.clone())).collect();
+        start(&Plan { starts, ..Plan::default() }, &settings, &mut book, &mut fleet);
+        book.jobs.get_mut(&service).expect("a known job").up = was_up;
+        let plan = pass(&settings, &mut book, &fleet, false);
+        let started: Vec<&HostId> =
+            plan.starts.iter().filter(|(id, ..)| *id == service).map(|(.., host)| host).collect();
+        if was_up {
+            assert!(started.is_empty(), "{started:?}");
+            assert_eq!(plan.reserve, [(with_image.clone(), service.clone())]);
+            assert_eq!(plan.stops.len(), 1);
+            // Its room is free and kept for it: it starts there in the next pass.
+            let (task, ..) = &plan.stops[0];
+            book.free(&task.job, task.index, false);
+            let machine = fleet.machines.get_mut(&with_image).expect("a known machine");
+            machine.free(task, NOW);
+            machine.reserved = Some((service.clone(), NOW.plus(Millis(20_000))));
+            let plan = pass(&settings, &mut book, &fleet, false);
+            assert!(plan.starts.contains(&(service, 0, with_image)), "{:?}", plan.starts);
+        } else {
+            assert_eq!(started, [&free]);
+            assert!(plan.stops.is_empty());
+        }
+    }
+}
