Zones: a leader that begins from nothing waits for a first report before it hires

Cause: what leaders tell each other of lost zones is gone when all controllers end at once; the next leader hired in the lost zone until its machines were overdue, some 18 s.

Change: a zone is awaited as long as a leader knows of three or more machines there, by its records or the list, and has heard none; nothing is hired there until the first report, or until they are overdue and the zone is lost. What is seen of zones, and what having a machine again takes, have functions of their own.

Ruled out: a durable record, which the first seconds of every takeover would have to read.

--- a/crates/core/src/reign/machines.rs
+++ b/crates/core/src/reign/machines.rs
@@ -80,19 +80,7 @@
             let from = m.last_report.unwrap_or(m.born).max(found_by.min(now));
             now.since(from)
         };
-        let mut seen: BTreeMap<Zone, Seen> = BTreeMap::new();
-        for m in self.fleet.machines.values().filter(|m| m.life != Life::Releasing) {
-            let seen = seen.entry(m.zone.clone()).or_default();
-            if let Some(at) = m.last_report {
-                seen.known += 1;
-                // Those cut off together fall silent within a report period of each other.
-                seen.silent += u32::from(silence(m) > early);
-                seen.heard += u32::from(now.since(at) <= early);
-                seen.latest = seen.latest.max(Some(at));
-            } else if let Some(at) = m.listed_up {
-                seen.unheard += u32::from(now.since(at.max(found_by.min(now))) > early);
-            }
-        }
+        let seen = self.seen(early, found_by.min(now), now);
         self.fleet.zones.observe(&seen, now);
         let mut sentinels: BTreeSet<Zone> = BTreeSet::new();
         let mut expired = Vec::new();
@@ -130,17 +118,12 @@
             let over = now > Fleet::horizon(m, self.since, facts.lease_s);
             // One is left to report the moment its zone is back, the others for as long as it would take to have them
             // again: a boot, and the fetch of their images.
-            let again_s = || {
-                let flavors = self.fleet.catalog.iter().flat_map(|c| &c.flavors);
-                let flavor = flavors.into_iter().find(|f| f.label == m.flavor);
-                let gb: f64 = m.images.iter().filter(|i| i.ready).map(|i| i.gb).sum();
-                flavor.map_or(0.0, |f| f.boot_s + gb / f.fetch_gb_per_s.max(0.01))
-            };
+            let catalog = self.fleet.catalog.as_ref();
             let kept = silent && m.taken_at.is_none() && self.fleet.zones.lost(&m.zone) && {
                 let sentinel = self.fleet.zones.keeps_sentinel(&m.zone, now);
                 let horizon = Fleet::horizon(m, self.since, facts.lease_s);
                 sentinel && sentinels.insert(m.zone.clone())
-                    || now <= horizon.plus(Millis::from_secs(again_s()))
+                    || now <= horizon.plus(Millis::from_secs(m.again_s(catalog)))
             };
             if silent && (!cut || over) && !kept {
                 m.enter(Life::Releasing, "silent for too long");
@@ -158,6 +141,29 @@
         }
     }
 
+    /// What shows of each zone's machines: those that are silent for longer than `early`, counted from `found_by` at the
+    /// earliest, ought to have reported.
+    fn seen(&self, early: Millis, found_by: Mono, now: Mono) -> BTreeMap<Zone, Seen> {
+        let mut zones: BTreeMap<Zone, Seen> = BTreeMap::new();
+        for m in self.fleet.machines.values().filter(|m| m.life != Life::Releasing) {
+            let seen = zones.entry(m.zone.clone()).or_default();
+            // By the records its tasks were there when this leader began, whatever the list has shown since.
+            let expected = m.listed_up.or((!m.held.is_empty()).then_some(self.since));
+            let overdue = |at: Mono| u32::from(now.since(at.max(found_by)) > early);
+            if let Some(at) = m.last_report {
+                seen.known += 1;
+                // Those cut off together fall silent within a report period of each other.
+                seen.silent += overdue(at);
+                seen.heard += u32::from(now.since(at) <= early);
+                seen.latest = seen.latest.max(Some(at));
+            } else if let Some(at) = expected {
+                seen.expected += 1;
+                seen.unheard += overdue(at);
+            }
+        }
+        zones
+    }
+
     /// Zones in which a machine was hired lately that has not reported: it may be on its way, or up and cut off.
     pub(super) fn coming(
         &self,
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -176,6 +176,15 @@
         self.images.iter().filter(|i| !i.ready).map(|i| (i.name.clone(), i.gb)).collect()
     }
 
+    /// Seconds that having a machine of this kind with the same images again would take: a boot, and their fetch.
+    pub fn again_s(&self, catalog: Option<&Catalog>) -> f64 {
+        let flavors = catalog.iter().flat_map(|c| &c.flavors);
+        let flavor = flavors.into_iter().find(|f| f.label == self.flavor);
+        let gb: f64 = self.images.iter().filter(|i| i.ready).map(|i| i.gb).sum();
+        let fetch_s = |rate: f64| if rate > 0.0 { gb / rate } else { 0.0 };
+        flavor.map_or(0.0, |f| f.boot_s + fetch_s(f.fetch_gb_per_s))
+    }
+
     /// Whether its last report is still to be answered.
     pub fn report_open(&self) -> bool {
         self.last_report.is_some_and(|at| self.last_answer.is_none_or(|answer| answer < at))
--- a/crates/zones/src/lib.rs
+++ b/crates/zones/src/lib.rs
@@ -19,6 +19,8 @@
     Mute {
         heard: Option<Mono>,
     },
+    /// Machines ought to be there, and this controller, which has only just begun to listen, has heard none of them yet.
+    Awaited,
     /// None of its machines reports while others of the fleet do.
     Lost {
         since: Mono,
@@ -42,7 +44,9 @@
     pub heard: u32,
     /// When the last report came.
     pub latest: Option<Mono>,
-    /// Machines that the cloud says are up, for longer than a report takes, and that this controller never heard.
+    /// Machines that the cloud says are up, or that hold tasks by the records, and that this controller never heard.
+    pub expected: u32,
+    /// Those of them that ought to have reported by now.
     pub unheard: u32,
 }
 
@@ -52,6 +56,11 @@
         self.silent >= EVIDENCE_MACHINES && self.silent * 2 > self.known
     }
 
+    /// Whether several machines are to be heard of, and none has been since this controller began to listen.
+    fn awaited(&self) -> bool {
+        self.known == 0 && self.expected >= EVIDENCE_MACHINES
+    }
+
     /// How many machines ought to report where none does.
     fn missed(&self) -> u32 {
         let none = self.heard == 0 && self.silent == self.known;
@@ -149,11 +158,18 @@
                 Standing::Mute { heard: Some(first) } => latest
                     .filter(|at| at.since(first) >= AGAIN_MS)
                     .map(|_| (Standing::Whole, "a machine reports again")),
+                Standing::Awaited if latest.is_some() => {
+                    Some((Standing::Whole, "a machine reports"))
+                }
+                Standing::Whole | Standing::Awaited if s.awaited() => (state.standing
+                    != Standing::Awaited)
+                    .then_some((Standing::Awaited, "nothing there was heard yet")),
                 _ if missed > 0 => {
                     Some((Standing::Mute { heard: None }, "its few machines are silent"))
                 }
                 Standing::Whole if s.cut() => Some((Standing::Doubted, "most are silent")),
                 Standing::Doubted if !s.cut() => Some((Standing::Whole, "most report")),
+                Standing::Awaited => Some((Standing::Whole, "nothing is there")),
                 Standing::Whole | Standing::Doubted => None,
             };
             if let Some((standing, why)) = next {
@@ -182,7 +198,7 @@
         match self.standing(zone) {
             Standing::Whole | Standing::Doubted => Hires::AsNeeded,
             Standing::Mute { .. } => Hires::OneAtATime,
-            Standing::Lost { .. } | Standing::Returning { .. } => Hires::None,
+            Standing::Awaited | Standing::Lost { .. } | Standing::Returning { .. } => Hires::None,
         }
     }
 
@@ -339,13 +355,35 @@
                 zones.observe(&seen(all(1, 98_000), all(100, 98_000)), Mono(98_000));
                 assert_eq!(zones.hires(&zone("a")), Hires::AsNeeded);
             } else {
-                let three = Seen { unheard: 3, ..one };
+                let three = Seen { unheard: 3, expected: 3, ..one };
                 zones.observe(&seen(three, all(100, 120_000)), Mono(120_000));
                 assert!(zones.lost(&zone("a")));
             }
         }
     }
 
+    /// Guards against hires in a lost zone by a leader that began from nothing, after the end of all controllers at once:
+    /// where machines ought to be, the first report is waited for.
+    #[test]
+    fn a_leader_that_begins_from_nothing_waits_for_a_first_report() {
+        let begun = Seen { expected: 9, ..Seen::default() };
+        let mut zones = Zones::default();
+        zones.observe(&seen(begun, begun), Mono(1_000));
+        assert_eq!(zones.hires(&zone("a")), Hires::None);
+        zones.observe(&seen(begun, all(3, 2_000)), Mono(2_000));
+        assert_eq!(zones.hires(&zone("a")), Hires::None);
+        assert_eq!(zones.hires(&zone("b")), Hires::AsNeeded);
+        let overdue = Seen { unheard: 9, ..begun };
+        zones.observe(&seen(overdue, all(9, 19_000)), Mono(20_000));
+        assert!(zones.lost(&zone("a")));
+        // Few machines, or none that is to be heard of, hold nothing up; nor do those that turn out to be gone.
+        let mut zones = Zones::default();
+        zones.observe(&seen(Seen { expected: 2, ..Seen::default() }, begun), Mono(1_000));
+        assert_eq!(zones.hires(&zone("a")), Hires::AsNeeded);
+        zones.observe(&seen(Seen::default(), Seen::default()), Mono(2_000));
+        assert_eq!(zones.hires(&zone("b")), Hires::AsNeeded);
+    }
+
     #[test]
     fn a_zone_that_comes_and_goes_has_a_longer_way_back_each_time() {
         let mut zones = Zones::default();
@@ -416,7 +454,9 @@
                     let silent = rng.random_range(0..=known - heard);
                     let latest = (heard > 0).then_some(now);
                     let unheard = rng.random_range(0..3);
-                    view.insert(zone(name), Seen { known, silent, heard, latest, unheard });
+                    let expected = unheard + rng.random_range(0..3);
+                    let seen = Seen { known, silent, heard, latest, expected, unheard };
+                    view.insert(zone(name), seen);
                 }
                 let before = NAMES.map(|name| zones.standing(&zone(name)));
                 zones.observe(&view, now);
--- a/tests/zones.rs
+++ b/tests/zones.rs
@@ -100,3 +100,17 @@
     }
     assert!(there <= 12, "{there} hired in the lost zone, {elsewhere} elsewhere");
 }
+
+/// Nor does a leader that knows of nothing, since all controllers ended at once: where its records have tasks, or the
+/// list machines, it waits for a first report.
+#[test]
+fn a_leader_that_begins_from_nothing_does_not_hire_in_a_lost_zone() {
+    let (mut there, mut elsewhere) = (0, 0);
+    for seed in 200..206 + more_days() {
+        let (a, b) = hired_while_lost(seed, [(LOST_AT + 12_000, Fault::CrashAll)]);
+        there += a;
+        elsewhere += b;
+    }
+    let most = 2 + more_days() as usize / 4;
+    assert!(there <= most, "{there} hired in the lost zone, {elsewhere} elsewhere");
+}
