--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -51,6 +51,15 @@
 pub const LEADER_POLL_MS: Millis = Millis(3_000);
 /// Pause after a failed claim, plus up to as much again at random.
 pub const CLAIM_PAUSE_MS: Millis = Millis(300);
+/// How often an owner of shares looks again at what its plan asks for and what is under way: moves and claims wait for
+/// it, and it costs a look at two dozen shares.
+pub const OWNERS_AGAIN_MS: Millis = Millis(500);
+/// How long a share may be nobody's before whoever sees it claims it: four looks, in which the one whose it should be has
+/// written its key.
+pub const UNCLAIMED_MS: Millis = Millis(2_000);
+/// How long an owner whose lease has ended is not reckoned with: longer than membership takes to miss it, so that its
+/// shares are not kept for it meanwhile.
+pub const LAPSED_MS: Millis = Millis(10_000);
 /// How long one watch is held open.
 pub const FOLLOW_HOLD_MS: Millis = Millis(10_000);
 
--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -66,7 +66,8 @@
     turn: Option<Turn>,
 }
 
-fn lease_end(sent: Mono) -> Mono {
+/// Until when a lease may be relied on whose last good renewal was sent at `sent`.
+pub(crate) fn lease_end(sent: Mono) -> Mono {
     let ttl = LEADER_TTL_MS.0 as f64 * (1.0 - DRIFT);
     sent.plus(Millis(ttl as u64 - VALIDITY_MARGIN_MS.0))
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod mesh;
 pub mod notes;
 pub mod operators;
+pub mod owners;
 pub mod parked;
 pub mod placement;
 pub mod reign;
--- a/crates/shares/src/lib.rs
+++ b/crates/shares/src/lib.rs
@@ -12,5 +12,5 @@
 
 pub use desk::{Action, Desk, Event, Flaw};
 pub use holding::{Holder, Holding, Key, Seat};
-pub use plan::{Candidate, Map, Weight, fallback, plan};
+pub use plan::{Candidate, Map, Stamp, Weight, fallback, plan};
 pub use record::{OwnerRecord, Read, ShareId};
--- a/crates/shares/src/plan.rs
+++ b/crates/shares/src/plan.rs
@@ -15,10 +15,17 @@
     pub owners: BTreeMap<ShareId, Seat>,
 }
 
+/// Which map something goes by: the leader's token and its count.
+pub type Stamp = (Token, u64);
+
 impl Map {
+    pub fn stamp(&self) -> Stamp {
+        (self.leader, self.number)
+    }
+
     /// Whether this one goes before another.
     pub fn newer(&self, other: &Self) -> bool {
-        (self.leader, self.number) > (other.leader, other.number)
+        self.stamp() > other.stamp()
     }
 }
 
