--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -57,6 +57,9 @@
 /// How long a share may be nobody's before whoever sees it claims it: four looks, in which the one whose it should be has
 /// written its key.
 pub const UNCLAIMED_MS: Millis = Millis(2_000);
+/// How long until a share whose owner ended is answered again, in the median, while the state service serves: the rest of
+/// the lease, the watch and a write.
+pub const ORPHANED_MS: Millis = Millis(LEADER_TTL_MS.0 + OWNERS_AGAIN_MS.0);
 /// How long an owner whose lease has ended is not reckoned with: longer than membership takes to miss it, so that its
 /// shares are not kept for it meanwhile.
 pub const LAPSED_MS: Millis = Millis(10_000);
--- a/crates/core/src/owners.rs
+++ b/crates/core/src/owners.rs
@@ -6,9 +6,8 @@
 use crate::constants::*;
 use crate::leadership::lease_end;
 use crate::store::StoreReply;
-use oatloom_protocol::ids::{LeaseId, Member, Millis, Mono, Revision, Token};
+use oatloom_protocol::ids::{LeaseId, Member, Mono, Revision, Token};
 use oatloom_protocol::wire::{Change, Condition, Logged, Row, Txn};
-use oatloom_shares::constants::OWNER_PREFIX;
 use oatloom_shares::{
     Action, Desk, Event, Holder, Holding, Key, Map, OwnerRecord, Read, Seat, ShareId, Stamp,
     fallback,
@@ -444,10 +443,3 @@
         asks.push(Ask::Watch(changes.revision.max(after)));
     }
 }
-
-/// The prefix of all owners' keys.
-pub const PREFIX: &str = OWNER_PREFIX;
-
-/// How long until a share whose owner ended is answered again, at most, while the state service serves: the rest of the
-/// lease, the watch, a review and a write.
-pub const ORPHANED_MS: Millis = Millis(LEADER_TTL_MS.0 + OWNERS_AGAIN_MS.0);
--- a/tests/owners.rs
+++ b/tests/owners.rs
@@ -6,11 +6,11 @@
 #[path = "world/state.rs"]
 mod state;
 
-use oatloom_core::constants::{CLOCK_START_MS, LEADER_TTL_MS, STORE_TIMEOUT_MS};
-use oatloom_core::owners::{Ask, ORPHANED_MS, Owners, PREFIX, Work};
+use oatloom_core::constants::{CLOCK_START_MS, LEADER_TTL_MS, ORPHANED_MS, STORE_TIMEOUT_MS};
+use oatloom_core::owners::{Ask, Owners, Work};
 use oatloom_core::store::{StoreOp, StoreReply};
 use oatloom_protocol::ids::{HostId, Member, Mono, Revision, Token};
-use oatloom_shares::constants::SHARES;
+use oatloom_shares::constants::{OWNER_PREFIX, SHARES};
 use oatloom_shares::{Map, Seat, ShareId, Stamp};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -140,7 +140,7 @@
                 Ask::Grant => StoreOp::Grant { ttl_ms: LEADER_TTL_MS.0 },
                 Ask::Touch(lease) => StoreOp::Touch { lease: *lease },
                 Ask::List { after, .. } => {
-                    StoreOp::List { prefix: PREFIX.into(), after: after.clone() }
+                    StoreOp::List { prefix: OWNER_PREFIX.into(), after: after.clone() }
                 }
                 Ask::Write { txn, .. } => StoreOp::Txn(txn.clone()),
                 Ask::Watch(after) => {
@@ -320,10 +320,10 @@
         if self.outage_until == 0 {
             let watches = std::mem::take(&mut self.watches);
             for (n, life, ask, sent, after, until) in watches {
-                let due = self.now >= until || !self.state.changes(PREFIX, after).is_empty();
+                let due = self.now >= until || !self.state.changes(OWNER_PREFIX, after).is_empty();
                 if self.nodes[n].life != life {
                 } else if due && self.now >= self.nodes[n].refused_until {
-                    let reply = self.state.follow(PREFIX, after);
+                    let reply = self.state.follow(OWNER_PREFIX, after);
                     self.send(4, Message::Reply { node: n, life, ask, sent, reply });
                 } else {
                     self.watches.push((n, life, ask, sent, after, until));
