Zones: a first report is waited for no longer than reports take

Cause, by reading: where all machines of a region are silent after the end of all controllers, no zone is lost beside the others, and all stayed awaited, without hires, until their machines were returned as never heard, some 200 s.

Change: a zone is awaited while it is not too late for all of its machines; then it is lost beside zones that are heard, or open.

--- a/crates/zones/src/lib.rs
+++ b/crates/zones/src/lib.rs
@@ -56,9 +56,10 @@
         self.silent >= EVIDENCE_MACHINES && self.silent * 2 > self.known
     }
 
-    /// Whether several machines are to be heard of, and none has been since this controller began to listen.
+    /// Whether several machines are to be heard of, none has been since this controller began to listen, and it is not
+    /// too late yet for all of them.
     fn awaited(&self) -> bool {
-        self.known == 0 && self.expected >= EVIDENCE_MACHINES
+        self.known == 0 && self.expected >= EVIDENCE_MACHINES && self.unheard < self.expected
     }
 
     /// How many machines ought to report where none does.
@@ -169,7 +170,7 @@
                 }
                 Standing::Whole if s.cut() => Some((Standing::Doubted, "most are silent")),
                 Standing::Doubted if !s.cut() => Some((Standing::Whole, "most report")),
-                Standing::Awaited => Some((Standing::Whole, "nothing is there")),
+                Standing::Awaited => Some((Standing::Whole, "nothing more is waited for")),
                 Standing::Whole | Standing::Doubted => None,
             };
             if let Some((standing, why)) = next {
@@ -382,6 +383,11 @@
         assert_eq!(zones.hires(&zone("a")), Hires::AsNeeded);
         zones.observe(&seen(Seen::default(), Seen::default()), Mono(2_000));
         assert_eq!(zones.hires(&zone("b")), Hires::AsNeeded);
+        // Silence everywhere shows nothing, and holds nothing up for longer than reports take.
+        let mut zones = Zones::default();
+        zones.observe(&seen(begun, begun), Mono(1_000));
+        zones.observe(&seen(overdue, overdue), Mono(20_000));
+        assert_eq!(zones.hires(&zone("a")), Hires::AsNeeded);
     }
 
     #[test]
