--- a/crates/core/src/controller/members.rs
+++ b/crates/core/src/controller/members.rs
@@ -100,7 +100,7 @@
     /// The leader's key is there: a path of its own by which its holder shows.
     pub(super) fn saw_seat(&mut self, now: Now) {
         if let Some(leader) = self.leadership.other_leader().cloned() {
-            self.members(now).key(&leader, true, now.mono);
+            self.members(now).key(&leader, now.mono);
         }
     }
 
--- a/crates/core/src/placement/room.rs
+++ b/crates/core/src/placement/room.rs
@@ -69,7 +69,7 @@
         }
         if self.yard.kept_for(id) {
             // Guards against waiting for one that was kept while none with the image could be had.
-            let kept = |m: &Machine| m.reserved.as_ref().is_some_and(|(j, _)| j == id);
+            let kept = |m: &Machine| m.kept_for(self.now) == Some(id);
             return self.fleet.machines.values().any(|m| kept(m) && m.has_image(image));
         }
         if self.image_searches >= IMAGE_SEARCHES_MOST {
@@ -111,8 +111,8 @@
         let started: BTreeSet<&HostId> = self.plan.starts.iter().map(|(_, _, h)| h).collect();
         let mut offers: Vec<Offer> = Vec::new();
         for m in self.fleet.machines.values() {
-            let taken = m.reserved.as_ref().is_some_and(|(_, until)| self.now < *until)
-                || self.plan.reserve.iter().any(|(h, _)| *h == m.id);
+            let taken =
+                m.kept_for(self.now).is_some() || self.plan.reserve.iter().any(|(h, _)| *h == m.id);
             if !usable(self.fleet, m, self.now)
                 || !which(m)
                 || taken
--- a/crates/core/src/placement/slots.rs
+++ b/crates/core/src/placement/slots.rs
@@ -147,8 +147,7 @@
             if !live && now.since(m.born).secs() > flavor.boot_s * BOOT_SPREAD {
                 continue;
             }
-            let reserved =
-                m.reserved.as_ref().filter(|(_, until)| now < *until).map(|(job, _)| job);
+            let reserved = m.kept_for(now);
             yard.kept_for.extend(reserved);
             let kind = yard.kind(flavor, &m.zone, m.spot);
             let slot = Slot {
--- a/crates/core/src/reign/capacity.rs
+++ b/crates/core/src/reign/capacity.rs
@@ -235,7 +235,7 @@
             .filter(|m| m.life == Life::Live && m.empty() && now.since(m.idle_since) >= keep)
             .filter(|m| now.since(m.born) >= LEAST_CHARGE_MS)
             .filter(|m| !plan.ready.contains(&m.id))
-            .filter(|m| m.reserved.as_ref().is_none_or(|(_, until)| now >= *until))
+            .filter(|m| m.kept_for(now).is_none())
             .filter_map(|m| {
                 let f = self.fleet.flavor(&m.flavor)?;
                 Some((f.price_as(m.spot) / f.cpus.max(1.0), f.cpus, m.id.clone()))
@@ -294,7 +294,7 @@
             .values()
             .filter(|m| m.life == Life::Live && !m.empty() && m.strays.is_empty())
             .filter(|m| !plan.ready.contains(&m.id))
-            .filter(|m| m.reserved.as_ref().is_none_or(|(_, until)| now >= *until))
+            .filter(|m| m.kept_for(now).is_none())
             .filter(|m| kept - cpus(m) >= self.planned)
             .filter(|_| closing.len() < CLOSING_MOST)
             .map(|m| (m.used.share_of(&self.fleet.room_of(m)), m.id.clone()))
--- a/crates/core/src/reign/machines.rs
+++ b/crates/core/src/reign/machines.rs
@@ -84,6 +84,7 @@
         self.fleet.zones.observe(&seen, now);
         let mut sentinels: BTreeSet<Zone> = BTreeSet::new();
         let mut expired = Vec::new();
+        let catalog = self.fleet.catalog.as_ref();
         for m in self.fleet.machines.values_mut() {
             if now > Fleet::horizon(m, self.since, facts.lease_s) && !m.held.is_empty() {
                 expired.push(m.id.clone());
@@ -92,12 +93,8 @@
                 continue;
             }
             if m.last_report.is_none() {
-                let boot_s = self
-                    .fleet
-                    .catalog
-                    .as_ref()
-                    .and_then(|c| c.flavors.iter().find(|f| f.label == m.flavor))
-                    .map_or(30.0, |f| f.boot_s);
+                let flavor = catalog.and_then(|c| c.flavor(&m.flavor));
+                let boot_s = flavor.map_or(30.0, |f| f.boot_s);
                 let patience = Millis::from_secs(boot_s * BOOT_PATIENCE + facts.lease_s);
                 let since_lead = now.since(self.heard_from) > silent_after;
                 if now.since(m.born) > patience && since_lead {
@@ -118,7 +115,6 @@
             let over = now > Fleet::horizon(m, self.since, facts.lease_s);
             // One is left to report the moment its zone is back, the others for as long as it would take to have them
             // again: a boot, and the fetch of their images.
-            let catalog = self.fleet.catalog.as_ref();
             let kept = silent && m.taken_at.is_none() && self.fleet.zones.lost(&m.zone) && {
                 let sentinel = self.fleet.zones.keeps_sentinel(&m.zone, now);
                 let horizon = Fleet::horizon(m, self.since, facts.lease_s);
--- a/crates/core/src/reign/reports.rs
+++ b/crates/core/src/reign/reports.rs
@@ -71,7 +71,7 @@
         if m.life != Life::Live || !m.strays.is_empty() || m.paused_until > now {
             return false;
         }
-        let kept = m.reserved.as_ref().is_some_and(|(_, until)| now < *until);
+        let kept = m.kept_for(now).is_some();
         let unsent = |hold: &Hold| hold.run == RunSent::No;
         let calm = |task: &TaskId| {
             self.book.get(&task.job).is_some_and(|j| {
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -135,6 +135,11 @@
         }
     }
 
+    /// The job for which it is being kept, if any.
+    pub fn kept_for(&self, now: Mono) -> Option<&JobId> {
+        self.reserved.as_ref().filter(|(_, until)| now < *until).map(|(job, _)| job)
+    }
+
     /// Whether any task of the job is held here.
     pub fn holds_of(&self, job: &JobId) -> bool {
         let all = TaskId::new(job, 0)..=TaskId::new(job, u32::MAX);
@@ -178,8 +183,7 @@
 
     /// Seconds that having a machine of this kind with the same images again would take: a boot, and their fetch.
     pub fn again_s(&self, catalog: Option<&Catalog>) -> f64 {
-        let flavors = catalog.iter().flat_map(|c| &c.flavors);
-        let flavor = flavors.into_iter().find(|f| f.label == self.flavor);
+        let flavor = catalog.and_then(|c| c.flavor(&self.flavor));
         let gb: f64 = self.images.iter().filter(|i| i.ready).map(|i| i.gb).sum();
         let fetch_s = |rate: f64| if rate > 0.0 { gb / rate } else { 0.0 };
         flavor.map_or(0.0, |f| f.boot_s + fetch_s(f.fetch_gb_per_s))
@@ -225,7 +229,7 @@
 
 impl Fleet {
     pub fn flavor(&self, label: &str) -> Option<&Flavor> {
-        self.catalog.as_ref()?.flavors.iter().find(|f| f.label == label)
+        self.catalog.as_ref()?.flavor(label)
     }
 
     /// Usual boot time of the type that boots fastest.
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -117,11 +117,11 @@
         self.look(now);
     }
 
-    /// Whether a peer's key, which stands under its lease, was there when the state service was read.
-    pub fn key(&mut self, peer: &Member, there: bool, now: Mono) {
+    /// A peer's key, which stands under its lease, was there when the state service was read.
+    pub fn key(&mut self, peer: &Member, now: Mono) {
         self.turn(now);
         if let Some(peer) = self.peers.get_mut(peer) {
-            peer.key = Some((there, now));
+            peer.key = Some(now);
         }
         self.look(now);
     }
@@ -178,11 +178,6 @@
         self.peers.get(peer).map_or(Line::Untried, |peer| peer.line)
     }
 
-    /// Whether the peer said that it could take requests, and nothing speaks against it since.
-    pub fn serves(&self, peer: &Member) -> bool {
-        self.peers.get(peer).is_some_and(|p| p.presence == Presence::Alive && p.ready)
-    }
-
     /// Whether any peer was served by the state service within the last `fresh_ms`, by its own fresh words.
     pub fn store_serves(&self, fresh_ms: u64, now: Mono) -> bool {
         self.peers.values().any(|peer| {
--- a/crates/membership/src/peer.rs
+++ b/crates/membership/src/peer.rs
@@ -45,12 +45,11 @@
     pub incarnation: Option<Incarnation>,
     /// When its own words came last, and when it had said them by its time of day.
     heard: Option<(Mono, u64)>,
-    pub ready: bool,
     pub store_ms: Option<u64>,
     /// When third ones had heard this life of it last.
     pub thirds: BTreeMap<Member, Mono>,
-    /// Whether its key was there when the state service was last read.
-    pub key: Option<(bool, Mono)>,
+    /// When its key was last seen in the state service.
+    pub key: Option<Mono>,
     /// When it was last spoken to.
     pub spoken: Option<Mono>,
 }
@@ -95,7 +94,7 @@
             self.key = None;
         }
         self.heard = Some((now, gossip.at_ms));
-        (self.ready, self.store_ms) = (gossip.ready, gossip.store_ms);
+        self.store_ms = gossip.store_ms;
         self.line_enter(Line::Good);
         let next = match (gossip.ready, self.presence) {
             (true, _) => Presence::Alive,
@@ -124,8 +123,7 @@
 
     /// The latest sign of life on any path.
     fn sign(&self) -> Option<Mono> {
-        let key = self.key.filter(|(there, _)| *there).map(|(_, at)| at);
-        self.heard_at().into_iter().chain(self.thirds.values().copied()).chain(key).max()
+        self.heard_at().into_iter().chain(self.thirds.values().copied()).chain(self.key).max()
     }
 
     /// What silence has come to mean.
--- a/crates/protocol/src/wire.rs
+++ b/crates/protocol/src/wire.rs
@@ -346,6 +346,13 @@
     pub flavors: Vec<Flavor>,
 }
 
+impl Catalog {
+    /// The machine type of that name.
+    pub fn flavor(&self, label: &str) -> Option<&Flavor> {
+        self.flavors.iter().find(|f| f.label == label)
+    }
+}
+
 #[cfg_attr(feature = "schema", derive(schemars::JsonSchema))]
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub enum MachineStatus {
--- a/crates/zones/src/lib.rs
+++ b/crates/zones/src/lib.rs
@@ -32,6 +32,12 @@
     },
 }
 
+impl Standing {
+    fn is_lost(self) -> bool {
+        matches!(self, Self::Lost { .. })
+    }
+}
+
 /// What is known of a zone's machines at one moment.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Seen {
@@ -185,13 +191,12 @@
 
     /// Whether nothing in the zone reports.
     pub fn lost(&self, zone: &Zone) -> bool {
-        matches!(self.standing(zone), Standing::Lost { .. })
+        self.standing(zone).is_lost()
     }
 
     /// The zones in which nothing reports.
     pub fn all_lost(&self) -> impl Iterator<Item = &Zone> {
-        let lost = |state: &State| matches!(state.standing, Standing::Lost { .. });
-        self.states.iter().filter(move |(_, state)| lost(state)).map(|(zone, _)| zone)
+        self.states.iter().filter(|(_, state)| state.standing.is_lost()).map(|(zone, _)| zone)
     }
 
     /// Whether machines may be hired there.
@@ -212,7 +217,7 @@
     pub fn take_probes(&mut self, now: Mono) -> Vec<Zone> {
         let mut due = Vec::new();
         for (zone, state) in &mut self.states {
-            if matches!(state.standing, Standing::Lost { .. }) && now >= state.next_probe {
+            if state.standing.is_lost() && now >= state.next_probe {
                 state.next_probe = now.plus(PROBE_EVERY_MS);
                 due.push(zone.clone());
             }
--- a/tests/owners.rs
+++ b/tests/owners.rs
@@ -3,8 +3,7 @@
 //! is answered by two, and no worker that can be reached is left without answers for long.
 
 #[allow(dead_code)]
-#[path = "world/state.rs"]
-mod state;
+mod world;
 
 use oatloom_core::constants::{CLOCK_START_MS, LEADER_TTL_MS, ORPHANED_MS, STORE_TIMEOUT_MS};
 use oatloom_core::owners::{Ask, Owners, Work};
@@ -14,8 +13,9 @@
 use oatloom_shares::{Map, Seat, ShareId, Stamp};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use state::State;
 use std::collections::BTreeMap;
+use world::more_days;
+use world::state::State;
 
 const STEP_MS: u64 = 50;
 const REPORT_MS: u64 = 3_000;
@@ -419,11 +419,6 @@
     }
 }
 
-/// How many days are to be played beyond the fixed ones, as `OATLOOM_SEEDS` has it.
-fn more_days() -> u64 {
-    std::env::var("OATLOOM_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(0)
-}
-
 /// Troubles for four minutes, then calm in which every share must be answered again.
 #[test]
 fn owners_through_days_of_trouble() {
