Loop: work is summed up to what teams' limits let run; what lies beyond rents nothing

Wants are now cut in the order in which jobs would run, and room is kept ready only for teams that have headroom beside what waits. With no limit, or one that binds nowhere, the sums are the same.

--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -4,6 +4,7 @@
 
 mod aims;
 mod gangs;
+mod limits;
 mod places;
 mod ready;
 mod room;
@@ -19,6 +20,7 @@
 use oatloom_protocol::settings::Settings;
 use oatloom_protocol::wire::{Flavor, Shape};
 use places::Places;
+pub use limits::{Headroom, in_order};
 pub use ready::expected;
 use slots::{Search, When, Yard, usable};
 use std::collections::{BTreeMap, BTreeSet};
@@ -138,20 +140,7 @@
 pub fn plan(inputs: Inputs) -> Plan {
     let Inputs { now, settings, book, fleet, paced, awaited, expected, refused } = inputs;
     let guaranteed = guaranteed(settings, book);
-    let overhead_s = settings.facts.workers.report_s;
-    let mut order: Vec<(JobId, Mono)> = book
-        .jobs
-        .iter()
-        .filter(|(_, j)| j.state == JobState::Open && j.startable(now) > 0 && now >= j.paused_until)
-        .map(|(id, j)| (id.clone(), start_by(settings, j, overhead_s, now)))
-        .collect();
-    order.sort_by(|(a, due_a), (b, due_b)| {
-        let (ja, jb) = (&book.jobs[a], &book.jobs[b]);
-        let guarantee = |id| !guaranteed.contains_key(id);
-        (jb.spec.rank, guarantee(a), work_left(ja), due_a, a)
-            .cmp(&(ja.spec.rank, guarantee(b), work_left(jb), due_b, b))
-            .then(ja.submitted.cmp(&jb.submitted))
-    });
+    let order = in_order(settings, book, &guaranteed, now);
     let mut pass = Pass {
         now,
         settings,
--- a/crates/core/src/placement/ready.rs
+++ b/crates/core/src/placement/ready.rs
@@ -1,25 +1,30 @@
 //! Room kept ready for jobs that are likely to come, and moves to cheap machines in calm times.
 
 use super::*;
+use oatloom_protocol::wire::JobSpec;
 
 /// Jobs that are likely to come before a machine hired for them would be up, of classes that users
-/// want started sooner than that. Arrivals are taken to come at the rate of the last minutes.
+/// want started sooner than that. Arrivals are taken to come at the rate of the last minutes; those of teams whose limit
+/// leaves nothing for them, beside what waits already, could not start.
 pub fn expected(
     settings: &Settings,
     book: &Book,
     fleet: &Fleet,
     now: Mono,
     since: Mono,
+    headroom: &Headroom,
 ) -> Vec<(Job, u32)> {
     let Some(boot_s) = fleet.least_boot_s() else { return Vec::new() };
     let window_s = now.since(since).secs().min(ARRIVAL_WINDOW_S);
     if !boot_s.is_finite() || window_s < boot_s {
         return Vec::new();
     }
-    let mut classes: BTreeMap<&str, (u32, u32, u32, &oatloom_protocol::wire::JobSpec)> =
+    let mut classes: BTreeMap<&str, (u32, u32, u32, &JobSpec)> =
         BTreeMap::new();
     let mut buckets: BTreeMap<(&str, u64), u32> = BTreeMap::new();
-    for (at, spec) in &book.arrivals {
+    let whole = |spec: &JobSpec| if spec.shape == Shape::Gang { spec.tasks } else { 1 };
+    let may_start = |spec: &JobSpec| headroom.tasks(spec).is_none_or(|most| most >= whole(spec));
+    for (at, spec) in book.arrivals.iter().filter(|(_, spec)| may_start(spec)) {
         // What comes at once is no rate: guards against taking a first load, or the jobs that a
         // new leader finds, for the pace at which more will come.
         let bucket = buckets.entry((&spec.class, at.0 / ARRIVAL_BUCKET_MS.0)).or_default();
@@ -63,7 +68,9 @@
         // Cheap machines first, to be hired if need be: guards against keeping dear ones for good
         // since they are there already.
         let kinds = if job.spec.spot { vec![Some(true), None] } else { vec![None] };
-        for _ in given..count as usize {
+        // Guards against machines kept for what the team's limit would not let run.
+        let count = (count as usize).min(self.within_limit(job) as usize / tasks);
+        for _ in given..count {
             let room = kinds.iter().find_map(|spot| {
                 self.cheapest_site(&need, tasks, &sites, *spot).map(|s| (s, *spot))
             });
--- a/crates/core/src/reign/capacity.rs
+++ b/crates/core/src/reign/capacity.rs
@@ -1,6 +1,53 @@
 //! The control loop: rates, the target N*, and the hires and returns that follow it.
 
 use super::*;
+use placement::Headroom;
+
+/// What a job asks of the loop.
+struct Want<'a> {
+    job: &'a Job,
+    /// Core equivalents of a task.
+    eq: f64,
+    /// Tasks left that may run now.
+    left: u32,
+    /// In cores.
+    rate: f64,
+    /// Whether it is part of the floor: it is not served by rate.
+    fixed: bool,
+}
+
+/// Cuts what jobs ask for to what their teams' limits let run at once, in the order in which they would run; says what the
+/// limits leave. Guards against machines for work that may not run on them: the document sums s = r/d of all jobs, and has
+/// no limits.
+fn limit_wants(
+    settings: &Settings,
+    book: &Book,
+    owed: &BTreeMap<JobId, ()>,
+    wants: &mut BTreeMap<&JobId, Want>,
+    now: Mono,
+) -> Headroom {
+    let mut headroom = Headroom::new(settings, book);
+    if headroom.boundless() {
+        return headroom;
+    }
+    for (id, _) in placement::in_order(settings, book, owed, now) {
+        let Some(want) = wants.get_mut(&id) else { continue };
+        let spec = &want.job.spec;
+        let Some(most) = headroom.tasks(spec) else { continue };
+        let asked = (want.rate / want.eq).ceil() as u32;
+        let more = asked.saturating_sub(want.job.held);
+        let granted = match spec.shape {
+            // Whole or not at all.
+            Shape::Gang if most < more => 0,
+            _ => more.min(most),
+        };
+        headroom.take(spec, granted);
+        if granted < more {
+            want.rate = want.eq * f64::from(want.job.held + granted);
+        }
+    }
+    headroom
+}
 
 impl Reign {
     /// Cores of a machine that a task stands for: by what binds first, so that a task that takes a
@@ -66,21 +113,20 @@
         2.0 * settings.facts.workers.report_s + fetch_s + boot_s
     }
 
-    /// Rates of all jobs, the target N*, and the floor of services, gangs and guarantees.
+    /// Rates of all jobs, the target N*, the floor of services, gangs and guarantees, and what teams' limits leave beside them.
     pub(super) fn demand(
         &mut self,
         settings: &Settings,
         tick_s: f64,
         now: Mono,
-    ) -> (f64, f64, Vec<(JobId, Claim)>) {
+    ) -> (f64, f64, Vec<(JobId, Claim)>, Headroom) {
         let owed = placement::guaranteed(settings, &self.book);
         for job in self.book.jobs.values_mut() {
             if let Some(measured) = job.measured.take() {
                 job.cost.update(measured);
             }
         }
-        let (mut target, mut floor) = (0.0, 0.0);
-        let mut claims = Vec::new();
+        let mut wants: BTreeMap<&JobId, Want> = BTreeMap::new();
         for (id, job) in self.book.jobs.iter().filter(|(_, j)| j.state == JobState::Open) {
             let eq = self.core_equivalents(&job.spec).max(1e-3);
             // What waits for its next try takes no room from others meanwhile.
@@ -89,19 +135,23 @@
                 _ => job.spec.tasks - job.done,
             };
             let full = eq * f64::from(left);
-            if job.spec.shape != Shape::Array {
-                target += full;
-                floor += full;
-                continue;
+            let fixed = job.spec.shape != Shape::Array || owed.contains_key(id);
+            let rate =
+                if fixed { full } else { self.array_rate(settings, job, left, eq, tick_s, now) };
+            wants.insert(id, Want { job, eq, left, rate, fixed });
+        }
+        let headroom = limit_wants(settings, &self.book, &owed, &mut wants, now);
+        let (mut target, mut floor) = (0.0, 0.0);
+        let mut claims = Vec::new();
+        for (id, want) in wants {
+            target += want.rate;
+            if want.fixed {
+                floor += want.rate;
+            }
+            if want.job.spec.shape == Shape::Array {
+                let claim = Claim { rate: want.rate, task_cores: want.eq, left: want.left };
+                claims.push((id.clone(), claim));
             }
-            let rate = if owed.contains_key(id) {
-                floor += full;
-                full
-            } else {
-                self.array_rate(settings, job, left, eq, tick_s, now)
-            };
-            target += rate;
-            claims.push((id.clone(), Claim { rate, task_cores: eq, left }));
         }
         // Room that is kept ready belongs to the floor, and so to the target.
         for (job, count) in &self.expected {
@@ -109,7 +159,7 @@
             floor += ready;
             target += ready;
         }
-        (target, floor, claims)
+        (target, floor, claims, headroom)
     }
 
     /// Whether a machine is empty and cannot be reached, since its zone is lost.
@@ -135,11 +185,11 @@
         desk: &mut CloudDesk,
         now: Mono,
     ) {
-        let (target, floor, claims) = self.demand(settings, ops.tick().secs(), now);
+        let (target, floor, claims, headroom) = self.demand(settings, ops.tick().secs(), now);
         self.expected = {
             let known = self.book.arrivals.iter().map(|(at, _)| *at).min();
             let since = known.unwrap_or(self.since).min(self.since);
-            placement::expected(settings, &self.book, &self.fleet, now, since)
+            placement::expected(settings, &self.book, &self.fleet, now, since, &headroom)
         };
         let awaited: f64 = desk
             .awaited()
