Checker: answers that cross, two different ends, and start orders after the end was told

Whether an answer is older is judged by when the newest one was received, whichever node gave it, against when the question was asked. That held for ends; a 404 counted as `forgotten` however early it was asked for, which no node can help: an answer to a question that was put before the acceptance was told may cross it. It is now judged by the moment at which the acceptance was told. Two different ends (done and cancelled) count as `went_back` however early the second was asked for, since one of them was never true; before, they counted only if asked for after the first.

New: `ordered`. A start order for a job whose user has been told of its end breaks a rule as the order leaves a controller, even if it arrives nowhere. Planted violations of each are seen by `the_checker_catches_planted_violations`.

--- a/crates/emulator/src/checker.rs
+++ b/crates/emulator/src/checker.rs
@@ -1,6 +1,6 @@
 //! The rules of the protocol, checked after every step of a simulated day.
 
-use oatloom_protocol::wire::{Cause, JobSpec, JobStatus, Shape};
+use oatloom_protocol::wire::{Cause, JobSpec, JobStatus, Order, Shape};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// A task on a machine: from the moment it has its image until it has exited or is killed.
@@ -25,6 +25,7 @@
 #[derive(Default)]
 struct Told {
     accepted: bool,
+    accepted_at: u64,
     over: Option<JobStatus>,
     over_at: u64,
     cancel_asked: bool,
@@ -289,8 +290,20 @@
         }
     }
 
-    /// A user was answered what was asked at `asked`. Answers to questions put before the user was
-    /// told of the job's end may cross it on their way.
+    /// Orders leave a controller: none starts a task of a job whose user has been told that it is cancelled or done,
+    /// whichever way they still have to go.
+    pub fn ordered(&mut self, now: u64, orders: &[Order]) {
+        for order in orders {
+            let Order::Run { task, .. } = order else { continue };
+            let job = task.rsplit_once('/').map_or(task.as_str(), |(job, _)| job);
+            if let Some(over) = self.over(job) {
+                self.fail(now, "ordered", format!("{task} is to run, its user was told {over:?}"));
+            }
+        }
+    }
+
+    /// A user was answered what was asked at `asked`. Answers to questions put before the user was told that the job is
+    /// accepted, or of its end, may cross that on their way, whichever node they come from.
     pub fn answered(
         &mut self,
         now: u64,
@@ -301,7 +314,7 @@
         submission: bool,
     ) {
         let known = self.specs.contains_key(job);
-        let accepted = self.told.get(job).is_some_and(|t| t.accepted);
+        let accepted = self.told.get(job).is_some_and(|t| t.accepted && asked >= t.accepted_at);
         if accepted && (status == 404 || submission && matches!(status, 400 | 422)) {
             self.fail(now, "forgotten", format!("{job} got {status}"));
         }
@@ -321,8 +334,12 @@
             self.fail(now, "not_done", job.into());
         }
         let told = self.told.entry(job.into()).or_default();
-        told.accepted = true;
-        let back = told.over.is_some_and(|over| over != said) && asked >= told.over_at;
+        if !told.accepted {
+            (told.accepted, told.accepted_at) = (true, now);
+        }
+        // Two different ends cannot have crossed: one of them was never true.
+        let back = told.over.is_some_and(|over| over != said)
+            && (asked >= told.over_at || said.is_final());
         let unasked = said == JobStatus::Cancelled && !told.cancel_asked;
         let before = told.over;
         let failed = said == JobStatus::Failed && told.over.is_none();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -5,7 +5,8 @@
 mod world;
 
 use oatloom_emulator::checker::{Checker, OnMachine, Place};
-use oatloom_protocol::wire::JobStatus;
+use oatloom_protocol::ids::Attempt;
+use oatloom_protocol::wire::{JobStatus, Order};
 use world::{World, more_days, show_log};
 
 fn play(seed: u64, faults: bool) -> World {
@@ -153,6 +154,30 @@
         c.answered(2, 2, "req-1", 200, &view("running"), false);
     });
     assert_eq!(back, ["went_back"]);
+    // Whichever node says it: what was asked before the news may cross it, two different ends may not.
+    let crossing = |asked: u64, status: u16, said: &'static str| {
+        caught(false, false, &move |c| {
+            (0..2).for_each(|i| c.task_done("req-1", i));
+            c.cancel_asked("req-1");
+            c.answered(10, 5, "req-1", 201, &view("queued"), true);
+            c.answered(20, 15, "req-1", 200, &view("cancelled"), false);
+            c.answered(30, asked, "req-1", status, &view(said), false);
+        })
+    };
+    assert!(crossing(8, 404, "").is_empty(), "asked before the acceptance was told");
+    assert_eq!(crossing(10, 404, ""), ["forgotten"]);
+    assert!(crossing(19, 200, "running").is_empty(), "asked before the end was told");
+    assert_eq!(crossing(20, 200, "running"), ["went_back"]);
+    assert_eq!(crossing(20, 200, "queued"), ["went_back"]);
+    assert_eq!(crossing(3, 200, "done"), ["went_back"], "a different end was never true");
+    let order = |task: &str| Order::Run { task: task.into(), attempt: Attempt(7) };
+    let ordered = caught(false, false, &|c| {
+        c.ordered(5, &[order("req-1/0")]);
+        cancelled(c);
+        c.ordered(10, &[order("req-2/0")]);
+        c.ordered(10, &[order("req-1/1")]);
+    });
+    assert_eq!(ordered, ["ordered"]);
     let invented =
         caught(false, false, &|c| c.answered(1, 1, "req-2", 200, &view("queued"), false));
     assert_eq!(invented, ["invented"]);
