Tests: close looks of users, lost answers of writes, calls at the end and at a takeover

Found and mended: an abort at a controller that does not lead was answered by nobody, until it was turned away after 1.7 s, if its look-up read the job as open and another look-up there read its end before that answer came: what was then known went to `answer_as_leader`, which has nothing to say without a reign.

--- a/crates/core/src/controller/users.rs
+++ b/crates/core/src/controller/users.rs
@@ -419,7 +419,11 @@
         }
         if let Some(view) = self.known(now.mono, &id) {
             match why {
-                Why::Abort => self.answer_as_leader(now, conn, Question::Abort(id)),
+                // One whose end another look has read meanwhile needs no leader, which this controller may not be: guards
+                // against an abort that nobody answers.
+                Why::Abort if !view.status.is_final() => {
+                    self.answer_as_leader(now, conn, Question::Abort(id));
+                }
                 _ => self.reply(conn, HttpReply::json(200, &view)),
             }
             return;
--- /dev/null
+++ b/tests/world/looks.rs
@@ -0,0 +1,231 @@
+//! Users who look closely: they ask every node, and submit again, within milliseconds of what they hear, call jobs off at
+//! the moment they are accepted or end, and send what cannot be accepted.
+
+use super::{Fault, From, Message, World};
+use oatloom_core::api::{Request, Submission, parse};
+use oatloom_protocol::ids::JobId;
+use oatloom_protocol::reply::HttpReply;
+use oatloom_protocol::wire::{JobSpec, JobStatus, Order, ReportAnswer};
+use rand::Rng;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// When every node is asked after something was heard, in milliseconds.
+const ASKED_AFTER_MS: [u64; 7] = [0, 1, 3, 8, 20, 60, 200];
+/// When the submission is repeated at every node: less often, since a follower asks the state service to find it known.
+const SUBMITTED_AFTER_MS: [u64; 2] = [0, 15];
+/// A finer step than usual, so that what is milliseconds apart is told apart.
+pub const FINE_STEP_MS: u64 = 5;
+
+/// A request of nobody's job, and its answer.
+#[derive(Debug)]
+pub struct Odd {
+    pub node: usize,
+    pub what: String,
+    pub answer: Option<(u64, HttpReply)>,
+}
+
+/// What users do beyond their usual ways, and what came of it. Nothing by default.
+#[derive(Debug, Default)]
+pub struct Looks {
+    /// Whether they ask all nodes and submit again as soon as they hear of something new.
+    pub close: bool,
+    /// The share of users who call their job off at the moment they hear that it is accepted.
+    pub abort_at_once: f64,
+    /// The share of those who do so when its last task ends, up to so many milliseconds later.
+    pub abort_at_end: (f64, u64),
+    /// What strikes when the last task of every so many-th job ends, up to as much later.
+    pub strike_at_end: Option<(usize, Fault)>,
+    /// Jobs that were heard to be accepted, to be done, and to be cancelled, and were then looked at.
+    pub accepted: u32,
+    pub done: u32,
+    pub cancelled: u32,
+    /// Close questions that were sent.
+    pub sent: u32,
+    /// Jobs that were called off when their last task ended.
+    pub called_off: BTreeSet<String>,
+    /// Jobs of which some start command has left.
+    pub started: BTreeSet<String>,
+    pub odd: Vec<Odd>,
+    heard: BTreeMap<String, JobStatus>,
+    ended: BTreeSet<String>,
+}
+
+/// One close request for a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Look {
+    View,
+    Submit,
+    Abort,
+    /// The submission, with a field missing.
+    SubmitBroken,
+}
+
+impl World {
+    /// A user asks a node something about its job, so much later.
+    pub fn look(&mut self, job: &str, node: usize, look: Look, after: u64) {
+        let Some(user) = self.users.iter_mut().find(|u| u.spec.id.as_str() == job) else { return };
+        let id = user.spec.id.clone();
+        let request = match look {
+            Look::View => Request::View(id),
+            Look::Submit => Request::Submit(Submission::Spec(Box::new(user.spec.clone()))),
+            Look::SubmitBroken => {
+                Request::Submit(Submission::Bad { id: Some(id), text: "a field is missing".into() })
+            }
+            Look::Abort => {
+                user.abort_at.get_or_insert(self.now);
+                self.region.checker.cancel_asked(job);
+                Request::Abort(id)
+            }
+        };
+        self.looks.sent += 1;
+        let submission = matches!(look, Look::Submit | Look::SubmitBroken);
+        let (abort, asked) = (look == Look::Abort, self.now + after);
+        let from = From::User { job: job.to_owned(), submission, abort, asked };
+        let delay = after + self.delay();
+        self.send(delay, Message::Request { node, from, request, forwarded: false });
+    }
+
+    /// Every node is asked, again and again.
+    fn look_everywhere(&mut self, job: &str) {
+        for node in 0..3 {
+            for after in ASKED_AFTER_MS {
+                self.look(job, node, Look::View, after);
+            }
+            for after in SUBMITTED_AFTER_MS {
+                self.look(job, node, Look::Submit, after);
+            }
+        }
+    }
+
+    /// A user has heard of its job.
+    pub(super) fn heard(&mut self, job: &str, body: &str) {
+        if !self.looks.close {
+            return;
+        }
+        let value: serde_json::Value = serde_json::from_str(body).unwrap_or_default();
+        let Ok(said) = serde_json::from_value::<JobStatus>(value["status"].clone()) else { return };
+        let before = self.looks.heard.get(job).copied();
+        if before.is_some() && (!said.is_final() || before.is_some_and(JobStatus::is_final)) {
+            return;
+        }
+        self.looks.heard.insert(job.to_owned(), said);
+        match said {
+            JobStatus::Done => self.looks.done += 1,
+            JobStatus::Cancelled => self.looks.cancelled += 1,
+            _ => self.looks.accepted += 1,
+        }
+        if !said.is_final() && self.rng.random_bool(self.looks.abort_at_once) {
+            // At one node or all of them, and at each before or after it is asked.
+            for node in 0..3 {
+                if self.rng.random_bool(0.6) {
+                    let after = self.rng.random_range(0..30);
+                    self.look(job, node, Look::Abort, after);
+                }
+            }
+        }
+        self.look_everywhere(job);
+    }
+
+    /// Jobs whose last task has just ended on its machine.
+    pub(super) fn step_looks(&mut self) {
+        let (share, within) = self.looks.abort_at_end;
+        if share <= 0.0 {
+            return;
+        }
+        let checker = &self.region.checker;
+        let fresh = |job: &String| checker.all_done(job) && !self.looks.ended.contains(job);
+        let accepted = self.users.iter().filter(|u| u.accepted);
+        let jobs: Vec<String> = accepted.map(|u| u.spec.id.to_string()).filter(fresh).collect();
+        for job in jobs {
+            self.looks.ended.insert(job.clone());
+            let nth = self.looks.ended.len();
+            if let Some((every, fault)) = self.looks.strike_at_end
+                && nth.is_multiple_of(every)
+            {
+                let at = self.now + self.rng.random_range(0..=within);
+                self.trouble([(at, fault)]);
+            }
+            if !self.rng.random_bool(share) || self.region.checker.over(&job).is_some() {
+                continue;
+            }
+            self.looks.called_off.insert(job.clone());
+            for _ in 0..self.rng.random_range(1..4) {
+                let (node, after) =
+                    (self.rng.random_range(0..3), self.rng.random_range(0..=within));
+                self.look(&job, node, Look::Abort, after);
+                self.look(&job, (node + 1) % 3, Look::View, after);
+                self.look(&job, (node + 2) % 3, Look::Submit, after);
+            }
+        }
+    }
+
+    /// Orders that leave a controller, whatever becomes of them on their way.
+    pub(super) fn note_orders(&mut self, from: &From, reply: &HttpReply) {
+        if reply.status == 200
+            && matches!(from, From::Worker { .. } | From::Peer { .. })
+            && let Ok(answer) = serde_json::from_str::<ReportAnswer>(&reply.body)
+        {
+            self.region.checker.ordered(self.now, &answer.orders);
+            for order in &answer.orders {
+                if let Order::Run { task, .. } = order
+                    && let Some((job, _)) = task.rsplit_once('/')
+                {
+                    self.looks.started.insert(job.to_owned());
+                }
+            }
+        }
+    }
+
+    /// Somebody sends a node what is nobody's job; what a controller never sees of it is answered at once.
+    pub fn send_odd(&mut self, node: usize, method: &str, path: &str, body: &str) {
+        let number = self.looks.odd.len();
+        let what = format!("{method} {path} {body}");
+        let (answer, request) = match parse(method, path, body.as_bytes()) {
+            Ok(request) => (None, Some(request)),
+            Err(reply) => (Some((self.now, reply)), None),
+        };
+        self.looks.odd.push(Odd { node, what, answer });
+        if let Some(request) = request {
+            let delay = self.delay();
+            let from = From::Odd(number);
+            self.send(delay, Message::Request { node, from, request, forwarded: false });
+        }
+    }
+
+    /// Whether anything was ever written for a job.
+    pub fn ever_written(&self, job: &str) -> bool {
+        self.state.history().iter().any(|change| {
+            let key = change.put.as_deref().unwrap_or_default();
+            key.split('/').nth(1) == Some(job)
+        })
+    }
+
+    /// Lets time pass in fine steps up to a moment, or to a broken rule.
+    pub fn play_finely_to(&mut self, until: u64) {
+        self.step_ms = FINE_STEP_MS;
+        self.play_to(until);
+        self.step_ms = super::STEP_MS;
+    }
+
+    /// Whether its user has heard that a job is accepted.
+    pub fn is_accepted(&self, job: &str) -> bool {
+        self.users.iter().any(|u| u.accepted && u.spec.id.as_str() == job)
+    }
+
+    /// Whether any task of a job is on a machine.
+    pub fn on_machine(&self, job: &str) -> bool {
+        self.region.checker.on_machines().any(|on| on.job == job)
+    }
+
+    /// A job's text as its user sends it.
+    pub fn text_of(spec: &JobSpec) -> serde_json::Value {
+        serde_json::to_value(spec).expect("a description is JSON")
+    }
+
+    /// How a job was last heard to have ended, and how long after its user came.
+    pub fn ended_after(&self, job: &JobId) -> Option<(JobStatus, u64)> {
+        let at = self.users.iter().find(|u| u.spec.id == *job)?.at;
+        let checker = &self.region.checker;
+        Some((checker.over(job.as_str())?, checker.over_at(job.as_str())? - at))
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -2,11 +2,13 @@
 //! protocol describes them, with delays, losses, late deliveries and failures, all from one seed.
 
 pub mod graphs;
+pub mod looks;
 pub mod served;
 pub mod solo;
 pub mod state;
 
 use graphs::Clients;
+use looks::Looks;
 use oatloom_core::api::{Request, Submission};
 use oatloom_core::cloud::{CloudOp, CloudReply};
 use oatloom_core::constants::CLOCK_START_MS;
@@ -108,6 +110,8 @@
     Client(usize, u64),
     /// A load balancer's probe.
     Probe,
+    /// Somebody with an odd request, by its number.
+    Odd(usize),
 }
 
 enum Message {
@@ -189,6 +193,8 @@
     StoreRestart,
     /// This share of a thousand transactions gets no answer and is carried out 2 to 12 s later.
     LateWrites(u64, u32),
+    /// This share of a thousand transactions is carried out at once and gets no answer; reads are not concerned.
+    AnswersLost(u64, u32),
     /// Of this share of a thousand reports a copy comes again, 2 s to more than twice a lease later.
     LateReports(u64, u32),
     /// Every so many-th machine that is up: its reports arrive, answers and direct commands to it are lost.
@@ -291,6 +297,12 @@
     /// Until when this share of a thousand transactions is carried out late, or of reports copied.
     late_writes: (u64, u32),
     late_reports: (u64, u32),
+    /// Until when the answers of this share of a thousand transactions are lost.
+    answers_lost: (u64, u32),
+    /// How long a step is, in milliseconds: a divisor of [`STEP_MS`].
+    pub step_ms: u64,
+    /// Users who look closely.
+    pub looks: Looks,
     /// Which two nodes cannot reach each other, and until when.
     peers_apart: (usize, usize, u64),
     /// Until when machines hear nothing.
@@ -441,6 +453,9 @@
             store_slow: (0, 1),
             late_writes: (0, 0),
             late_reports: (0, 0),
+            answers_lost: (0, 0),
+            step_ms: STEP_MS,
+            looks: Looks::default(),
             peers_apart: (0, 0, 0),
             deaf: BTreeMap::new(),
             storm: (0, 1),
@@ -683,6 +698,7 @@
             match action {
                 Action::Reply { conn, reply } => {
                     if let Some(from) = self.nodes[node].conns.remove(&conn) {
+                        self.note_orders(&from, &reply);
                         if matches!(from, From::Peer { .. }) && self.parted(node) {
                             continue;
                         }
@@ -760,6 +776,11 @@
             && self.rng.random_bool(of(self.late_writes.1))
         {
             (delay, answer) = (Some(self.rng.random_range(2_000..12_000)), false);
+        } else if matches!(op, StoreOp::Txn(_))
+            && self.now < self.answers_lost.0
+            && self.rng.random_bool(of(self.answers_lost.1))
+        {
+            (delay, answer) = (Some(self.delay()), false);
         } else if self.now < self.store_slow.0 && answer {
             let usual = if self.rng.random_bool(0.1) { 100..300 } else { 3..12 };
             let took = self.rng.random_range(usual) * u64::from(self.store_slow.1);
@@ -912,7 +933,11 @@
                     user.accepted_after.get_or_insert(now - user.at);
                 }
                 user.aborted |= abort && good;
+                if good {
+                    self.heard(&job, &reply.body);
+                }
             }
+            From::Odd(number) => self.looks.odd[number].answer = Some((now, reply)),
             From::Copy => {}
             From::Probe => self.probes.push((now, node, reply.status)),
             From::Worker { host, report, sent } => {
@@ -1018,6 +1043,7 @@
             }
             Fault::PeersApart(a, b, span) => self.peers_apart = (a, b, now + span),
             Fault::LateWrites(span, share) => self.late_writes = (now + span, share),
+            Fault::AnswersLost(span, share) => self.answers_lost = (now + span, share),
             Fault::LateReports(span, share) => self.late_reports = (now + span, share),
             Fault::StoreSlow(span, times) => self.store_slow = (now + span, times),
             Fault::MachinesDeaf(span, every) => {
@@ -1216,7 +1242,7 @@
     }
 
     pub fn step(&mut self) {
-        self.now += STEP_MS;
+        self.now += self.step_ms;
         let before = self.outage_until > 0 && self.now >= self.outage_until;
         if before {
             self.state.refill(self.now);
@@ -1242,6 +1268,7 @@
             }
         }
         self.step_users();
+        self.step_looks();
         for (client, number, node, ask) in self.clients.step(self.now) {
             let request = Request::Graph(Box::new(ask));
             let delay = self.delay();
