Users: a known job is looked up before its new text is found too long; close looks in drawn troubles

A repeated submission of an accepted job that came with a text longer than a value of the state service may be got 400 from any controller that does not know the job by itself, a follower or a leader whose book does not show it: `accept` judged the length before anything was read. It is now judged as other texts are: the job is looked up first. `a_known_job_is_known_whatever_its_text_is_worth_now` fails on the old sources with 400 for 200.

--- a/crates/core/src/controller/users.rs
+++ b/crates/core/src/controller/users.rs
@@ -199,7 +199,9 @@
         };
         let limit = self.settings.facts.state.value_kb * 1024.0;
         if value.to_string().len() as f64 > limit {
-            return self.reply(conn, HttpReply::error(400, "the description is too long to keep"));
+            // The job may be known by another text.
+            let reply = HttpReply::error(400, "the description is too long to keep");
+            return self.lookup(now.mono, conn, id.clone(), Why::Submit(reply));
         }
         let txn = Txn {
             conditions: vec![fresh(jobs::live_key(id)), fresh(jobs::over_key(id))],
--- a/tests/looks.rs
+++ b/tests/looks.rs
@@ -170,6 +170,62 @@
     assert!(met > 70 && as_done > 20 && as_cancelled > 5, "{met}, {as_done}, {as_cancelled}");
 }
 
+/// One trouble of the controllers or the state service, drawn, that lasts about `span`.
+fn trouble(rng: &mut ChaCha8Rng, span: u64) -> Fault {
+    let node = rng.random_range(0..3);
+    match rng.random_range(0..14) {
+        0 => Fault::AnswersLost(span, rng.random_range(200..1_000)),
+        1 => Fault::LateWrites(span, 300),
+        2 => Fault::Leader(Upon::Crash),
+        3 => Fault::Leader(Upon::Refused(span)),
+        4 => Fault::Leader(Upon::Parted(span)),
+        5 => Fault::Leader(Upon::Cut(span)),
+        6 => Fault::LeaderAsleep(span / 2),
+        7 => Fault::StoreOutage(span),
+        8 => Fault::StoreSlow(span, rng.random_range(3..25)),
+        9 => Fault::StoreRestart,
+        10 => Fault::PeersApart(node, (node + 1) % 3, span),
+        11 => Fault::NodeFrozen(node, span / 2),
+        12 => Fault::CrashAll,
+        _ => Fault::StoreLoses(span / 2),
+    }
+}
+
+/// Drawn pairs of troubles while users look closely and call jobs off at once, at their end, and in between.
+#[test]
+fn close_looks_in_drawn_troubles() {
+    let (mut done, mut cancelled) = (0, 0);
+    for seed in 0..8 + more_days() {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut faults = Vec::new();
+        for n in 0..3 {
+            let at = 10_000 + n * 18_000 + rng.random_range(0..5_000);
+            for _ in 0..2 {
+                let span = rng.random_range(500..14_000);
+                faults.push((at + rng.random_range(0..6_000), trouble(&mut rng, span)));
+            }
+        }
+        faults.sort_by_key(|(at, _)| *at);
+        let what = format!("seed {seed}, {faults:?}");
+        let mut world = day(seed, faults, 80_000);
+        world.restart_ms = [50, 300, 1_000, 5_000][rng.random_range(0..4)];
+        (world.looks.close, world.looks.abort_at_once) = (true, 0.15);
+        world.looks.abort_at_end = (0.4, rng.random_range(50..3_000));
+        add_jobs(&mut world, 30, 1_700, |n| match n % 3 {
+            0 => small_array(&job(n), 1 + n as u32 % 7),
+            _ => one_task(&job(n), 1 + n as u32 % 7),
+        });
+        world.cancel_some(0.2, 10_000, 70_000);
+        world.play_finely_to(75_000);
+        world.play_to(190_000);
+        check(&world, &what);
+        done += world.told(JobStatus::Done);
+        cancelled += world.told(JobStatus::Cancelled);
+    }
+    println!("{done} done, {cancelled} cancelled");
+    assert!(done > 60 && cancelled > 40, "{done}, {cancelled}");
+}
+
 /// Jobs that run are called off at the very moment at which the state service refuses the leader alone; a second later it
 /// is out for everybody, for longer than a cancellation may take.
 #[test]
@@ -363,6 +419,7 @@
         (with("shape", json!("choir")), 400),
         (with("rank", json!(null)), 400),
         (with("gpus", json!("1")), 400),
+        (with("bundle", json!("i".repeat(9_000))), 400),
     ];
     // One that needs more than its team's limit.
     let mut gang = good.clone();
@@ -502,3 +559,32 @@
         assert_eq!(said(&solo, again), Some((200, true)));
     }
 }
+
+/// A known job is submitted again with a text that nobody could keep. Guards against judging the text first: its user would
+/// take the job for refused.
+#[test]
+fn a_known_job_is_known_whatever_its_text_is_worth_now() {
+    for over in [false, true] {
+        let mut solo = Solo::new();
+        solo.led_by_another();
+        solo.pass(500);
+        let spec = one_task("req-1", 9);
+        let status = JobStatus::Done;
+        let end = OverRecord { status, done: 1, failure: None, spent: None, part: None };
+        let live = LiveRecord { spec: spec.clone(), wall_ms: 1, part: None };
+        solo.write(vec![match over {
+            true => Change::put("over/req-1".into(), json!(end)),
+            false => Change::put("live/req-1".into(), json!(live)),
+        }]);
+        let long =
+            |id: &str| JobSpec { image: "i".repeat(9_000), id: JobId::new(id), ..spec.clone() };
+        let mut submit = |spec: JobSpec| {
+            let conn = solo.ask(Request::Submit(Submission::Spec(Box::new(spec))));
+            solo.pass(100);
+            solo.reply(conn).map(|reply| reply.status)
+        };
+        assert_eq!(submit(long("req-1")), Some(200), "over: {over}");
+        assert_eq!(submit(long("req-2")), Some(400));
+        assert!(solo.state.rows("live/req-2").is_empty());
+    }
+}
