Workers: what is over is stopped directly on machines that do not report; tests of such meetings

A cancelled task on a machine that reaches no controller, while direct commands reach it, ran on for the rest of its lease and counted in its team's limit as long; nothing was sent, also not by a new leader, which knew neither the machine's address nor its session. Now its leader tells it directly to stop, once a report period until it is known to have ended, three machines at a time; the address comes from the cloud's list, the session from the records.

Reports of an earlier session than the records show are old ones, and an old report that comes while the book is read no longer takes the place of a newer one that waits.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -189,6 +189,12 @@
 /// gangs; each costs a socket and, while it waits, a small stack.
 pub const COMMANDS_MOST: usize = 24;
 pub const COMMAND_THREADS: usize = 6;
+/// Of these, how many may be taken by machines that do not report: half of the threads, so that their time-outs keep
+/// nothing urgent waiting.
+pub const OVERDUE_COMMANDS_MOST: usize = 3;
+/// Report periods without a report after which a machine is told directly to stop what belongs to jobs that are over: a
+/// report comes within one and a quarter.
+pub const OVERDUE_REPORTS: f64 = 1.5;
 /// Time-out of a direct command: what it says goes with the answer to the next report in any case.
 pub const COMMAND_TIMEOUT_MS: Millis = Millis(800);
 /// Beyond a worker's lease and drift: a worker looks at its lease now and then, and stops its tasks one by one.
--- a/crates/core/src/controller/reports.rs
+++ b/crates/core/src/controller/reports.rs
@@ -26,6 +26,10 @@
                 if forwarded {
                     return Some(HttpReply::error(503, "the book is being read"));
                 }
+                // Guards against an old report that takes the place of its worker's open one.
+                if self.parked.has_newer(report) {
+                    return Some(HttpReply::error(409, OUTDATED));
+                }
                 self.wait(report, conn, now, Some(Box::new(report.clone())));
                 return None;
             } else if let Some(answer) = reign.on_report(report, now) {
@@ -133,6 +137,15 @@
             self.commands += 1;
             self.out.push(Action::Command { addr, command });
         }
+        // Few at once: machines that do not report mostly cannot be reached either, and what is urgent must not wait for
+        // their time-outs.
+        while self.commands < OVERDUE_COMMANDS_MOST
+            && let Some((host, addr, command)) = reign.next_overdue(now)
+        {
+            log::debug!("machine {host}: does not report, told directly to stop what is over");
+            self.commands += 1;
+            self.out.push(Action::Command { addr, command });
+        }
     }
 
     pub(super) fn on_obeyed(&mut self, now: Mono, report: Option<Box<Report>>) {
--- a/crates/core/src/jobs/mod.rs
+++ b/crates/core/src/jobs/mod.rs
@@ -117,7 +117,7 @@
         record: ChunkRecord,
         stamp: Revision,
         now: Mono,
-    ) -> Vec<(u32, HostId)> {
+    ) -> Vec<(u32, HostId, Shift)> {
         let job = self.jobs.entry(id.clone()).or_insert_with(|| Job::ghost(id, &record));
         let over = job.state == JobState::Over;
         let Some(slot) = job.chunks.get_mut(chunk as usize) else {
@@ -151,7 +151,7 @@
                 stop: None,
             };
             if self.hold_unwritten(id, index, hold) {
-                held.push((index, host));
+                held.push((index, host, shift));
             }
         }
         if over {
--- a/crates/core/src/jobs/tests.rs
+++ b/crates/core/src/jobs/tests.rs
@@ -186,7 +186,7 @@
     let record = book_a.get(&id).unwrap().record(1);
     let (mut book_b, _) = book(200);
     let held = book_b.load_chunk(&id, 1, record.clone(), Revision(3), Mono(5));
-    assert_eq!(held, vec![(100, HostId::new("i-7"))]);
+    assert_eq!(held, vec![(100, HostId::new("i-7"), hold("i-7").shift)]);
     let job = book_b.get(&id).unwrap();
     assert_eq!((job.done, job.held), (1, 1));
     assert_eq!(job.hold(100).unwrap().run, RunSent::Inherited);
--- a/crates/core/src/parked.rs
+++ b/crates/core/src/parked.rs
@@ -47,6 +47,12 @@
         self.waiting.is_empty()
     }
 
+    /// Whether a report of the same machine waits that is no older.
+    pub fn has_newer(&self, report: &Report) -> bool {
+        let waiting = self.waiting.get(&report.host);
+        waiting.is_some_and(|p| (p.shift, p.tally) >= (report.shift, report.tally))
+    }
+
     /// Takes out what is parked of a machine: a newer report has come, or it is being answered.
     pub fn take(&mut self, host: &HostId) -> Option<Parked> {
         self.waiting.remove(host)
--- a/crates/core/src/reign/machines.rs
+++ b/crates/core/src/reign/machines.rs
@@ -50,6 +50,9 @@
             let born = Mono(now.0.saturating_sub(age.0));
             let machine = self.fleet.adopt(&row.host, &row.flavor, &row.zone, row.spot, born, now);
             machine.attested = true;
+            if machine.addr.is_empty() {
+                machine.addr.clone_from(&row.addr);
+            }
             if machine.flavor.is_empty() {
                 machine.flavor.clone_from(&row.flavor);
                 machine.spot = row.spot;
@@ -139,6 +142,52 @@
         }
     }
 
+    /// Notes which machines do not report and have tasks of jobs that are over, those told longest ago last; also those whose
+    /// return was asked for and may never be answered.
+    pub(super) fn find_overdue(&mut self, settings: &Settings, now: Mono) {
+        let report_s = settings.facts.workers.report_s;
+        let (again, late) =
+            (Millis::from_secs(report_s), Millis::from_secs(report_s * OVERDUE_REPORTS));
+        let over = |task: &TaskId| self.book.get(&task.job).is_some_and(|job| !job.goes_on());
+        let due = |m: &&Machine| {
+            let heard = m.last_report.unwrap_or(self.heard_from).max(self.heard_from);
+            !m.addr.is_empty()
+                && now.since(heard) > late
+                && now.since(m.told_at) >= again
+                && m.held.keys().any(over)
+        };
+        let machines = self.fleet.machines.values().filter(due);
+        let mut found: Vec<(Mono, HostId)> = machines.map(|m| (m.told_at, m.id.clone())).collect();
+        found.sort_unstable_by(|a, b| b.cmp(a));
+        self.overdue = found.into_iter().map(|(_, host)| host).collect();
+    }
+
+    /// The next machine that does not report, with its address, and the stops of what it has of jobs that are over. Said
+    /// once in a report period, until it is known to have ended. Guards against cancelled work that goes on for the rest of
+    /// a lease, and counts in its team's limit as long, on machines that reach no controller and can be reached.
+    pub fn next_overdue(&mut self, now: Mono) -> Option<(HostId, String, Command)> {
+        loop {
+            let host = self.overdue.pop()?;
+            let over = |(id, _): &(JobId, u32)| self.book.get(id).is_some_and(|job| !job.goes_on());
+            let tasks = self.held_on(&host, |_| true).into_iter().filter(over);
+            let stop = |(id, index): (JobId, u32)| {
+                let attempt = self.book.get(&id)?.hold(index)?.attempt;
+                Some(Order::Stop {
+                    task: TaskId::new(&id, index).to_string(),
+                    attempt,
+                    grace_s: 0.0,
+                })
+            };
+            let orders: Vec<Order> = tasks.filter_map(stop).take(MAX_ORDERS).collect();
+            let Some(m) = self.fleet.machines.get_mut(&host).filter(|_| !orders.is_empty()) else {
+                continue;
+            };
+            m.told_at = now;
+            let command = Command { token: self.token, shift: m.shift, orders };
+            return Some((host, m.addr.clone(), command));
+        }
+    }
+
     /// What shows of each zone's machines: those that are silent for longer than `early`, counted from `found_by` at the
     /// earliest, ought to have reported. Guards against a zone that is taken for lost for the silence of machines that were
     /// returned long ago, of which old reports came.
--- a/crates/core/src/reign/mod.rs
+++ b/crates/core/src/reign/mod.rs
@@ -130,6 +130,8 @@
     trials: BTreeMap<TaskId, Mono>,
     /// Stops that do not wait for their machine's next report.
     hasty: BTreeMap<HostId, Vec<Order>>,
+    /// Machines that do not report and have something of jobs that are over, the one told longest ago last.
+    overdue: Vec<HostId>,
     /// Task graphs, where they are served.
     pub graphs: Option<Desk>,
     kinds: graphs::Kinds,
@@ -165,6 +167,7 @@
             condemned: BTreeSet::new(),
             trials: BTreeMap::new(),
             hasty: BTreeMap::new(),
+            overdue: Vec::new(),
             graphs: graphs::desk(terms, token, now),
             kinds: graphs::Kinds::new(),
             place_dirty: true,
@@ -274,7 +277,7 @@
     ) {
         let zones: BTreeMap<HostId, Zone> =
             record.held.iter().map(|(_, _, host, _, zone)| (host.clone(), zone.clone())).collect();
-        for (index, host) in self.book.load_chunk(id, chunk, record, stamp, now) {
+        for (index, host, shift) in self.book.load_chunk(id, chunk, record, stamp, now) {
             let Some(job) = self.book.get(id) else {
                 continue;
             };
@@ -285,6 +288,8 @@
             // Its type shows in the list or in its report.
             let machine = self.fleet.adopt(&host, "", zone, false, now, now);
             machine.attested = true;
+            // A report of an earlier session is an old one, and what is said directly names the session.
+            machine.shift = machine.shift.max(shift);
             machine.hold(
                 TaskId::new(id, index),
                 Room::from(&*spec),
@@ -390,6 +395,7 @@
         if now >= self.next_tick && now >= self.next_place.min(self.next_tick.plus(ops.tick())) {
             self.next_tick = now.plus(ops.tick());
             self.watch_machines(settings, ops, desk, now);
+            self.find_overdue(settings, now);
             self.probe_zones(desk, now);
             self.drain(now);
             self.try_again(now);
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -114,6 +114,8 @@
     /// Images by last use, newest last.
     pub images: Vec<Image>,
     pub reserved: Option<(JobId, Mono)>,
+    /// When it was last told directly to stop what is over, since it did not report.
+    pub told_at: Mono,
     /// Answers in a row that it has not heard, as its next report showed.
     pub unheard: u32,
     /// Its held tasks were given up when its lease had run out; only a newer shift counts again.
@@ -308,6 +310,7 @@
                 idle_since: now,
                 faults: BTreeSet::new(),
                 paused_until: Mono(0),
+                told_at: Mono(0),
                 unheard: 0,
                 images: Vec::new(),
                 reserved: None,
--- a/tests/world/machines.rs
+++ b/tests/world/machines.rs
@@ -46,7 +46,7 @@
     keep: Option<Keep>,
     mute: BTreeMap<String, u64>,
     pub met: Met,
-    /// When each mute machine carried out a direct command.
+    /// When each mute machine was sent a direct command.
     pub told: BTreeMap<String, Vec<u64>>,
     /// The latest message of each machine that a leader had taken up, with that leader's token.
     sorted: BTreeMap<HostId, (Token, Shift, u64)>,
@@ -108,8 +108,9 @@
         mute
     }
 
-    pub(super) fn note_command(&mut self, host: &str) {
-        if self.is_mute(host) {
+    /// A direct command comes to a machine, in time if its answer is waited for.
+    pub(super) fn note_command(&mut self, host: &str, in_time: bool) {
+        if in_time && self.is_mute(host) {
             self.machines.told.entry(host.to_owned()).or_default().push(self.now);
         }
     }
@@ -204,6 +205,35 @@
         }
     }
 
+    /// Tasks on machines whose user was told at least so long ago that their job is cancelled.
+    pub fn lingering(&self, for_ms: u64) -> Vec<String> {
+        let checker = &self.region.checker;
+        let late = |job: &str| {
+            checker.over(job) == Some(JobStatus::Cancelled)
+                && checker.over_at(job).is_some_and(|at| self.now >= at + for_ms)
+        };
+        checker.on_machines().filter(|on| late(&on.job)).map(|on| format!("{on:?}")).collect()
+    }
+
+    /// Assignments in the leader's book that are not durable yet, to machines that have been up for less than so long.
+    pub fn hasty_assignments(&self, up_for_ms: u64) -> usize {
+        let Some(reign) = self.ruling() else { return 0 };
+        let new = |host: &HostId| {
+            let worker = self.region.workers.get(host.as_str());
+            worker.is_some_and(|w| self.now >= w.up_at && self.now < w.up_at + up_for_ms)
+        };
+        let jobs = reign.book.jobs.values();
+        jobs.flat_map(|j| j.holds().filter(|(i, h)| !j.durable(*i) && new(&h.host))).count()
+    }
+
+    /// Every so many-th machine that holds a task is cut off for so long, alone; how many.
+    pub fn cut_machines(&mut self, span: u64, every: usize) -> usize {
+        let now = self.now;
+        let busy = self.region.workers.values_mut().filter(|w| now >= w.up_at);
+        let busy = busy.filter(|w| !w.tasks.is_empty()).step_by(every);
+        busy.map(|worker| worker.cut_until = now + span).count()
+    }
+
     /// Lets time pass up to a moment, or to a broken rule; the book is looked at after every step.
     pub fn watch_to(&mut self, until: u64) {
         while self.now < until && self.region.checker.broken.is_empty() {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -885,6 +885,7 @@
     /// A hanging or cut worker takes a command up once it goes on, however late that is.
     fn commanded(&mut self, node: usize, life: u64, addr: String, command: Command, answer: bool) {
         let now = self.now;
+        self.note_command(&addr, answer);
         let cut = |w: &Worker| now < self.nodes[node].cut_until || self.apart(node, &w.place.zone);
         let Some((until, cut)) =
             self.region.workers.get(&addr).map(|w| (w.hung_until.max(w.cut_until), cut(w)))
@@ -902,7 +903,6 @@
             let late = Message::Command { node, life, addr, command, answer: false };
             return self.send(delay, late);
         }
-        self.note_command(&addr);
         let report = self.region.commanded(now, &addr, &command).map(|(_, report)| report);
         if answer {
             let delay = self.delay();
