--- a/tests/machines.rs
+++ b/tests/machines.rs
@@ -34,7 +34,7 @@
 /// An array of a team with a limit: more of these want to run than may.
 fn limited(n: u64, tasks: u32, expect_s: u32) -> JobSpec {
     let mut spec = small_array(&format!("req-9{n:05}"), expect_s);
-    (spec.team, spec.tasks, spec.spot) = ("red".into(), tasks, n % 2 == 0);
+    (spec.team, spec.tasks, spec.spot) = ("red".into(), tasks, n.is_multiple_of(2));
     spec
 }
 
@@ -376,7 +376,7 @@
         world.strike(Fault::PollStorm(span + 10_000, 6));
         let until = world.now + span + 10_000;
         while world.now < until {
-            world.door = (world.now / 1_000 % 2 == 0).then_some(old);
+            world.door = (world.now / 1_000).is_multiple_of(2).then_some(old);
             world.watch_to(world.now + 1_000);
             check(&world, &format!("seed {seed}, {span} ms"));
         }
