Tests: limits in cores and GPUs at which leaders change, and jobs neglected though they could run

Its checker counts cores in limits too (it knew GPUs alone), and a task that has completed and is started again may end at once, as the protocol has it.

--- a/crates/ctl/src/launch.rs
+++ b/crates/ctl/src/launch.rs
@@ -3,7 +3,7 @@
 
 use crate::constants::*;
 use crate::settings::{Addresses, Local, ZONES, member};
-use oatloom_emulator::checker::Checker;
+use oatloom_emulator::checker::{Checker, Limit};
 use oatloom_emulator::faults::{Fault, Faults, Planned, Service};
 use oatloom_emulator::gate::{self, Shared};
 use oatloom_emulator::line;
@@ -402,8 +402,8 @@
         cancel_s: local.cancel_s,
     };
     let limits = local.teams.iter().enumerate();
-    let limits =
-        limits.map(|(n, team)| (team.clone(), if n == 0 { local.gpus_max } else { 0.0 })).collect();
+    let gpus_max = |n| Limit::gpus(if n == 0 { local.gpus_max } else { 0.0 });
+    let limits = limits.map(|(n, team)| (team.clone(), gpus_max(n))).collect();
     let checker = Checker::new(limits, ms(local.cancel_s));
     Region::new(terms, (&facts).into(), checker, seed)
 }
--- a/crates/emulator/src/checker.rs
+++ b/crates/emulator/src/checker.rs
@@ -57,23 +57,41 @@
     /// Tasks that came onto machines since this was last taken, where somebody takes it.
     pub begun: Option<Vec<OnMachine>>,
     errors: BTreeMap<(String, u32), Errors>,
-    limits: HashMap<String, f64>,
+    limits: HashMap<String, Limit>,
     cancel_ms: u64,
     specs: HashMap<String, JobSpec>,
     told: HashMap<String, Told>,
     done: HashMap<String, BTreeSet<u32>>,
     on: BTreeMap<OnMachine, Place>,
-    /// GPUs that each team's tasks on machines take, in thousandths, so that sums are exact.
-    used: HashMap<String, i64>,
+    /// Cores and GPUs that each team's tasks on machines take, in thousandths, so that sums are exact.
+    used: HashMap<String, [i64; 2]>,
 }
 
-fn thousandths(gpus: f64) -> i64 {
-    (gpus * 1e3).round() as i64
+/// The most that a team's tasks may take at once; 0: no limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Limit {
+    pub cpus: f64,
+    pub gpus: f64,
+}
+
+impl Limit {
+    /// Of GPUs alone.
+    pub fn gpus(gpus: f64) -> Self {
+        Self { cpus: 0.0, gpus }
+    }
+}
+
+fn thousandths(amount: f64) -> i64 {
+    (amount * 1e3).round() as i64
+}
+
+/// Cores and GPUs of a task.
+fn amounts(spec: &JobSpec) -> [i64; 2] {
+    [thousandths(spec.cpus), thousandths(spec.gpus)]
 }
 
 impl Checker {
-    /// `limits`: most GPUs of each team, 0 for none.
-    pub fn new(limits: HashMap<String, f64>, cancel_ms: u64) -> Self {
+    pub fn new(limits: HashMap<String, Limit>, cancel_ms: u64) -> Self {
         Self {
             broken: Vec::new(),
             saved: 0,
@@ -252,13 +270,15 @@
         }
         let used = self.used.entry(spec.team.clone()).or_default();
         if self.on.insert(task, place).is_none() {
-            *used += thousandths(spec.gpus);
+            used.iter_mut().zip(amounts(&spec)).for_each(|(used, more)| *used += more);
         }
-        let used = *used;
-        let limit = self.limits.get(&spec.team).copied().unwrap_or(0.0);
-        if limit > 0.0 && used > thousandths(limit) {
-            let text = format!("{} uses {} of {limit}", spec.team, used as f64 / 1e3);
-            self.fail(now, "quota", text);
+        let [cpus, gpus] = *used;
+        let limit = self.limits.get(&spec.team).copied().unwrap_or_default();
+        for (what, used, most) in [("cores", cpus, limit.cpus), ("GPUs", gpus, limit.gpus)] {
+            if most > 0.0 && used > thousandths(most) {
+                let text = format!("{} uses {} {what} of {most}", spec.team, used as f64 / 1e3);
+                self.fail(now, "quota", text);
+            }
         }
     }
 
@@ -267,7 +287,7 @@
             && let Some(spec) = self.specs.get(&task.job)
             && let Some(used) = self.used.get_mut(&spec.team)
         {
-            *used -= thousandths(spec.gpus);
+            used.iter_mut().zip(amounts(spec)).for_each(|(used, less)| *used -= less);
         }
     }
 
--- a/crates/emulator/src/region.rs
+++ b/crates/emulator/src/region.rs
@@ -114,6 +114,11 @@
         Catalog { flavors }
     }
 
+    /// What a machine of this type has.
+    pub fn flavor(&self, label: &str) -> Option<&Flavor> {
+        self.terms.flavors.iter().find(|f| f.label == label)
+    }
+
     /// A page of the machine list, as it was a while ago.
     pub fn list(&mut self, now: u64, after: &str, most: usize) -> MachineList {
         let (least, longest) = self.terms.list_age_ms;
--- a/crates/emulator/src/worker.rs
+++ b/crates/emulator/src/worker.rs
@@ -40,6 +40,8 @@
     pub saved: HashMap<(String, u32), u64>,
     /// Attempts of gangs that were stopped in order: all tasks were told in time and have saved.
     pub safe: BTreeSet<(String, u64)>,
+    /// Whether a task that has completed and is started again ends at once, as the protocol has it.
+    pub keeps_results: bool,
     /// Jobs whose tasks fail by their own doing.
     pub broken: HashMap<String, Broken>,
 }
@@ -257,7 +259,9 @@
             match task.phase {
                 TaskPhase::Fetching if now >= task.until => {
                     checker.started(now, self.on(&key), self.place.clone());
-                    if gang {
+                    if outside.keeps_results && checker.is_done(&key.0, key.1) {
+                        self.exit(&key, Cause::Done, checker);
+                    } else if gang {
                         let phase = TaskPhase::Waiting;
                         self.tasks.insert(key, Instance { phase, waiting_since: now, ..task });
                     } else {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -4,7 +4,7 @@
 #[allow(dead_code)]
 mod world;
 
-use oatloom_emulator::checker::{Checker, OnMachine, Place};
+use oatloom_emulator::checker::{Checker, Limit, OnMachine, Place};
 use oatloom_protocol::ids::Attempt;
 use oatloom_protocol::wire::{JobStatus, Order};
 use world::{World, more_days, show_log};
@@ -93,7 +93,7 @@
         |flavor: &str, zone: &str, spot| Place { flavor: flavor.into(), zone: zone.into(), spot };
     let good = || place("g4", "a", false);
     let caught = |spread, one_zone, act: &dyn Fn(&mut Checker)| -> Vec<String> {
-        let limits = [("red".to_owned(), 3.0)].into();
+        let limits = [("red".to_owned(), Limit { cpus: 1.5, gpus: 3.0 })].into();
         let mut checker = Checker::new(limits, 1_000);
         checker.submitted(&spec(spread, one_zone));
         act(&mut checker);
@@ -107,6 +107,17 @@
         c.started(2, on(0, "y"), good());
     });
     assert!(twice.contains(&"ran_twice".to_owned()) && twice.contains(&"quota".to_owned()));
+    let quotas = |gpus: f64, cpus: f64| {
+        caught(false, false, &move |c| {
+            let mut spec = spec(false, false);
+            (spec.gpus, spec.cpus) = (gpus, cpus);
+            c.submitted(&spec);
+            (0..2).for_each(|i| c.started(1, on(i, "x"), good()));
+        })
+    };
+    assert!(quotas(1.5, 0.75).is_empty());
+    assert_eq!(quotas(1.6, 0.75), ["quota"]);
+    assert_eq!(quotas(1.5, 0.76), ["quota"], "cores count too");
     for bad in [place("g2", "a", false), place("g4", "a", true)] {
         let rules = caught(false, false, &|c| c.started(1, on(0, "x"), bad.clone()));
         assert_eq!(rules, ["wrong_place"]);
--- a/tests/served.rs
+++ b/tests/served.rs
@@ -11,7 +11,7 @@
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeSet;
 use world::served::{Served, Watch};
-use world::{Fault, Site, World, more_days, show_log};
+use world::{Fault, Site, Upon, World, more_days, show_log};
 
 /// When the last job comes, and when the day ends, in milliseconds.
 const DAY_MS: (u64, u64) = (450_000, 800_000);
@@ -184,7 +184,7 @@
 
 /// No class and no team gets less than half, whatever is read as served, where so much could be had.
 fn half_served(what: &str, world: World) {
-    let (least, bound) = least_served(what, world);
+    let (least, bound) = least_served(what, world, |_| {});
     assert!(least >= 0.5 || bound < OUT_OF_REACH, "{what}: {least} of {bound}");
 }
 
@@ -203,10 +203,13 @@
 }
 
 /// What the class or team got that got least, by the strictest reading, and what of the replicas could have been up.
-fn least_served(what: &str, mut world: World) -> (f64, f64) {
+fn least_served(what: &str, mut world: World, mut look: impl FnMut(&World)) -> (f64, f64) {
     show_log();
     let mut most = 0;
-    let watch = watched(what, &mut world, |world| most = most.max(world.region.workers.len()));
+    let watch = watched(what, &mut world, |world| {
+        most = most.max(world.region.workers.len());
+        look(world);
+    });
     println!("{what}: {most} machines at most, replicas could be up {:.3}", watch.bound.of());
     let served = watch.served(&world);
     for (name, share) in &served {
@@ -307,7 +310,7 @@
     let days: BTreeSet<u64> = [1_011, 1_013, 1_019, 1_035].into_iter().chain(more).collect();
     let (mut short, mut lost) = (Vec::new(), Vec::new());
     for seed in days {
-        let (least, bound) = least_served(&format!("seed {seed}"), drawn(seed, SMALL));
+        let (least, bound) = least_served(&format!("seed {seed}"), drawn(seed, SMALL), |_| {});
         match least < 0.5 {
             true if bound < OUT_OF_REACH => lost.push((seed, least, bound)),
             true => short.push((seed, least, bound)),
@@ -318,6 +321,27 @@
     assert!(short.is_empty(), "{short:?}");
 }
 
+/// More urgent and other work than room, while every message between anybody takes hundreds of milliseconds, and leaders end:
+/// half of each class and team is served all the same.
+#[test]
+fn more_work_than_room_over_slow_links() {
+    for seed in 80..81 + more_days() {
+        let mut faults = vec![(10_000, Fault::Scarce(DAY_MS.1))];
+        faults.extend((0..4).map(|n| (110_000 + n * 30_000, Fault::Leader(Upon::Crash))));
+        let mut world = day(seed, SMALL / 3, faults, burst([3, 1][seed as usize % 2]));
+        world.slow_links = (u64::MAX, 100, 450);
+        let (mut full, mut looks) = (0, 0);
+        let least = least_served(&format!("slow links, seed {seed}"), world, |world| {
+            let asks = world.now > 100_000 && world.now < 300_000 && world.leads().is_some();
+            looks += u32::from(asks);
+            full += u32::from(asks && world.unplaced().0 > 0);
+        });
+        println!("slow links, seed {seed}: {least:?}, tasks waited at {full} of {looks} looks");
+        assert!(full * 4 > looks * 3, "there is more work than room");
+        assert!(least.0 >= 0.5 || least.1 < OUT_OF_REACH, "seed {seed}: {least:?}");
+    }
+}
+
 /// Half of the machines die and are not to be had again while a class comes three times as often.
 #[test]
 fn half_of_the_capacity_is_gone_for_good() {
--- /dev/null
+++ b/tests/world/limits.rs
@@ -0,0 +1,246 @@
+//! Jobs that wait though they could run, worlds whose teams' limits bind, and what tests of them do to jobs and machines.
+
+use super::{SETTINGS, Site, User, World, settings};
+use oatloom_core::workers::Room;
+use oatloom_emulator::worker::Worker;
+use oatloom_protocol::wire::{JobSpec, JobStatus, Shape, TaskPhase};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write;
+
+/// A job that could run for so long without a break, with all troubles over, is neglected.
+pub const NEGLECTED_MS: u64 = 90_000;
+/// Slack for sums of decimal amounts.
+const EPSILON: f64 = 1e-6;
+
+/// Since when each job could run and does not, without a break.
+#[derive(Debug, Default)]
+pub struct Neglect {
+    since: BTreeMap<String, u64>,
+    /// The longest that any has, in milliseconds.
+    pub longest: u64,
+}
+
+impl Neglect {
+    /// Notes which jobs could run at this moment; returns those that could for too long.
+    pub fn look(&mut self, now: u64, could: BTreeSet<String>) -> Vec<String> {
+        self.since.retain(|job, _| could.contains(job));
+        let mut late = Vec::new();
+        for job in could {
+            let waited = now - *self.since.entry(job.clone()).or_insert(now);
+            self.longest = self.longest.max(waited);
+            if waited > NEGLECTED_MS {
+                // Told once, and then counted anew.
+                self.since.remove(&job);
+                late.push(job);
+            }
+        }
+        late
+    }
+}
+
+/// A machine with room, as its worker has it.
+pub struct Free {
+    pub flavor: String,
+    pub zone: String,
+    pub spot: bool,
+    pub room: Room,
+}
+
+/// How many further tasks of a job could be placed at once, with others of it in these zones.
+pub fn placeable(spec: &JobSpec, others: &BTreeMap<String, u32>, machines: &[Free]) -> u32 {
+    let need = Room::from(spec);
+    let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
+    for machine in machines {
+        let allowed = spec.flavors.as_ref().is_none_or(|list| list.contains(&machine.flavor))
+            && spec.zone.as_ref().is_none_or(|zone| zone.as_str() == machine.zone)
+            && (spec.spot || !machine.spot);
+        let mut room = machine.room;
+        let mut fit = 0;
+        while allowed && fit < spec.tasks && room.fits(&need) {
+            room.take(&need);
+            fit += 1;
+        }
+        *zones.entry(&machine.zone).or_default() += fit;
+    }
+    let there = |zone: &str| others.get(zone).copied().unwrap_or(0);
+    let cap = if spec.spread { spec.tasks.div_ceil(2) } else { spec.tasks };
+    let open = zones.iter().map(|(zone, fit)| (*zone, (*fit).min(cap.saturating_sub(there(zone)))));
+    if !spec.one_zone {
+        return open.map(|(_, fit)| fit).sum();
+    }
+    let elsewhere = |zone: &str| others.iter().any(|(other, n)| other != zone && *n > 0);
+    open.filter(|(zone, _)| !elsewhere(zone)).map(|(_, fit)| fit).max().unwrap_or(0)
+}
+
+/// A team's guarantee and limit, each in cores and GPUs; 0: none.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Terms {
+    pub name: &'static str,
+    pub cpus: f64,
+    pub cpus_max: f64,
+    pub gpus: f64,
+    pub gpus_max: f64,
+}
+
+/// The usual site with other teams.
+pub fn site(teams: &[Terms]) -> Site {
+    let (head, rest) = SETTINGS.split_once("[[facts.teams]]").expect("settings with teams");
+    let (_, tail) = rest.split_once("[[facts.objectives]]").expect("settings with objectives");
+    let mut text = head.to_owned();
+    for team in teams {
+        let _ = writeln!(
+            text,
+            "[[facts.teams]]\nname = {:?}\ncpus = {:?}\ncpus_max = {:?}\ngpus = {:?}\ngpus_max = {:?}",
+            team.name, team.cpus, team.cpus_max, team.gpus, team.gpus_max
+        );
+    }
+    Site { settings: format!("{text}[[facts.objectives]]{tail}"), ..Site::default() }
+}
+
+impl World {
+    /// Whether whoever leads can use a worker: it is up, hears and is heard, does not fail and is not to be taken.
+    fn usable(&self, worker: &Worker) -> bool {
+        let now = self.now;
+        now >= worker.up_at.max(worker.hung_until).max(worker.cut_until)
+            && worker.notice_until.is_none()
+            && !worker.faulty
+            && !self.is_deaf(&worker.host)
+            && !(0..3).any(|node| self.apart(node, &worker.place.zone))
+    }
+
+    /// Tasks that machines have, by the truth of their workers, and where: also those that wait for their image.
+    fn placed(&self) -> impl Iterator<Item = (&str, u32, &Worker)> {
+        self.region.workers.values().flat_map(|worker| {
+            let there = worker.tasks.iter().filter(|(_, t)| t.phase != TaskPhase::Exited);
+            there.map(move |((job, index, _), _)| (job.as_str(), *index, worker))
+        })
+    }
+
+    /// Accepted jobs that wait though a machine that fits has room and their team is under its limit by enough: of arrays
+    /// and services for one task, of gangs for all.
+    pub fn could_run(&self) -> BTreeSet<String> {
+        let specs = &self.region.outside.specs;
+        let mut placed: BTreeMap<&str, BTreeSet<u32>> = BTreeMap::new();
+        let mut zones: BTreeMap<&str, BTreeMap<String, u32>> = BTreeMap::new();
+        let mut used: BTreeMap<&str, Room> = BTreeMap::new();
+        let mut taken: BTreeMap<&str, Room> = BTreeMap::new();
+        for (job, index, worker) in self.placed() {
+            placed.entry(job).or_default().insert(index);
+            *zones.entry(job).or_default().entry(worker.place.zone.clone()).or_default() += 1;
+            if let Some(spec) = specs.get(job) {
+                used.entry(&spec.team).or_default().add(&Room::from(spec));
+                taken.entry(&worker.host).or_default().add(&Room::from(spec));
+            }
+        }
+        let free: Vec<Free> = self
+            .region
+            .workers
+            .values()
+            .filter(|worker| self.usable(worker))
+            .map(|worker| {
+                let mut room =
+                    self.region.flavor(&worker.place.flavor).map(Room::from).unwrap_or_default();
+                room.take(&taken.get(worker.host.as_str()).copied().unwrap_or_default());
+                let place = worker.place.clone();
+                Free { flavor: place.flavor, zone: place.zone, spot: place.spot, room }
+            })
+            .collect();
+        let teams = settings(&self.site.settings, 0).facts.teams;
+        let could = |user: &&User| {
+            let spec = &user.spec;
+            let id = spec.id.as_str();
+            let there = placed.get(id);
+            let has = |task: u32| there.is_some_and(|tasks| tasks.contains(&task));
+            let wants = |task: u32| !self.region.checker.is_done(id, task) && !has(task);
+            let at_once = match spec.shape {
+                Shape::Gang if there.is_some() => return false,
+                Shape::Gang => spec.tasks,
+                _ => 1,
+            };
+            if !user.accepted
+                || user.abort_at.is_some_and(|at| self.now >= at)
+                || self.region.checker.over(id).is_some()
+                || !(0..spec.tasks).any(wants)
+            {
+                return false;
+            }
+            let Some(team) = teams.iter().find(|team| team.name == spec.team) else { return false };
+            let used = used.get(spec.team.as_str()).copied().unwrap_or_default();
+            let within = |most: f64, used: f64, each: f64| {
+                most <= 0.0 || used + each * f64::from(at_once) <= most + EPSILON
+            };
+            within(team.cpus_max, used.cpus, spec.cpus)
+                && within(team.gpus_max, used.gpus, spec.gpus)
+                && placeable(spec, zones.get(id).unwrap_or(&BTreeMap::new()), &free) >= at_once
+        };
+        self.users.iter().filter(could).map(|user| user.spec.id.to_string()).collect()
+    }
+
+    /// Once all troubles are over, no job waits for long though it could run.
+    pub(super) fn look_for_neglected(&mut self) {
+        if self.now < self.calm_from {
+            return;
+        }
+        let could = self.could_run();
+        for job in self.neglect.look(self.now, could) {
+            let text =
+                format!("{job} could run and waits: {:?}", self.region.outside.specs.get(&job));
+            self.region.checker.fail(self.now, "neglected", text);
+        }
+    }
+
+    /// All users who came have been told that their jobs are accepted.
+    pub fn accept_all(&mut self) {
+        self.users.iter_mut().for_each(|user| user.accepted = true);
+    }
+
+    /// A job's user cancels it at that moment, or as soon as it is accepted.
+    pub fn cancel(&mut self, job: &str, at: u64) {
+        if let Some(user) = self.users.iter_mut().find(|user| user.spec.id.as_str() == job) {
+            (user.abort_at, user.next) = (Some(at), at);
+        }
+    }
+
+    /// Machines that have a task of the job, by the truth of their workers.
+    pub fn machines_of(&self, job: &str) -> BTreeSet<String> {
+        self.placed()
+            .filter(|(id, ..)| *id == job)
+            .map(|(.., worker)| worker.host.clone())
+            .collect()
+    }
+
+    /// Jobs that have a task on a machine and whose users have not cancelled them, services apart.
+    pub fn on_machines(&self) -> Vec<JobSpec> {
+        let on: BTreeSet<&str> =
+            self.region.checker.on_machines().map(|task| task.job.as_str()).collect();
+        let wanted = self.users.iter().filter(|user| {
+            user.spec.shape != Shape::Service
+                && user.abort_at.is_none()
+                && user.accepted
+                && on.contains(user.spec.id.as_str())
+        });
+        wanted.map(|user| user.spec.clone()).collect()
+    }
+
+    /// Accepted jobs, services apart, whose users have not cancelled them and do not know of their end.
+    pub fn open_jobs(&self) -> Vec<JobSpec> {
+        let open = |user: &&User| {
+            user.spec.shape != Shape::Service
+                && user.accepted
+                && user.abort_at.is_none()
+                && self.region.checker.over(user.spec.id.as_str()).is_none()
+        };
+        self.users.iter().filter(open).map(|user| user.spec.clone()).collect()
+    }
+
+    /// How often the leader's key was written: once for each term.
+    pub fn terms(&self) -> usize {
+        let lead = |key: &Option<String>| key.as_deref() == Some("lead");
+        self.state.history().iter().filter(|change| lead(&change.put)).count()
+    }
+
+    /// Whether a job's user was told that it is cancelled.
+    pub fn told_cancelled(&self, job: &str) -> bool {
+        self.region.checker.over(job) == Some(JobStatus::Cancelled)
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -4,12 +4,14 @@
 pub mod graphs;
 pub mod looks;
 pub mod machines;
+pub mod limits;
 pub mod served;
 pub mod solo;
 pub mod state;
 
 use graphs::Clients;
 use looks::Looks;
+use limits::Neglect;
 use oatloom_core::api::{Request, Submission};
 use oatloom_core::cloud::{CloudOp, CloudReply};
 use oatloom_core::constants::CLOCK_START_MS;
@@ -18,7 +20,7 @@
 use oatloom_core::operators::Operators;
 use oatloom_core::reply::ConnId;
 use oatloom_core::store::{Lane, OpId, StoreOp, StoreReply};
-use oatloom_emulator::checker::Checker;
+use oatloom_emulator::checker::{Checker, Limit};
 use oatloom_emulator::region::{Hired, Region, Sending, Terms};
 use oatloom_emulator::worker::Worker;
 use oatloom_ledger::entry::Entry;
@@ -337,6 +339,10 @@
     nodes: Vec<Node>,
     watches: Vec<Watch>,
     pub region: Region,
+    /// Jobs that wait though they could run.
+    pub neglect: Neglect,
+    /// Until when every message takes a time between these, in milliseconds.
+    pub slow_links: (u64, u64, u64),
     /// Clients of task graphs, and what must hold for them.
     pub clients: Clients,
     /// Troubles of machines' reports.
@@ -423,7 +429,8 @@
         nodes: (0..3).map(|n| Member::new(&format!("n-{n}"))).collect(),
     };
     let settings = settings(&site.settings, 0);
-    let limit = |team: &Team| (team.name.clone(), team.gpus_max);
+    let limit =
+        |team: &Team| (team.name.clone(), Limit { cpus: team.cpus_max, gpus: team.gpus_max });
     let limits = settings.facts.teams.iter().map(limit).collect();
     let cancel_ms = Millis::from_secs(settings.facts.workers.cancel_s).0;
     let checker = Checker::new(limits, cancel_ms);
@@ -479,6 +486,8 @@
             spent: BTreeMap::new(),
             door: None,
             quiet: false,
+            neglect: Neglect::default(),
+            slow_links: (0, 0, 0),
             clients: Clients::default(),
             machines: machines::Machines::default(),
             users: Vec::new(),
@@ -663,7 +672,10 @@
     }
 
     fn delay(&mut self) -> u64 {
-        if self.rng.random_bool(0.01) {
+        let (until, least, most) = self.slow_links;
+        if self.now < until {
+            self.rng.random_range(least..most)
+        } else if self.rng.random_bool(0.01) {
             self.rng.random_range(100..900)
         } else {
             self.rng.random_range(1..12)
@@ -1308,6 +1320,7 @@
             self.region.note_list(self.now);
             self.region.checker.look(self.now);
             self.look_for_forgotten();
+            self.look_for_neglected();
         }
         self.clients.look(self.now, &mut self.region);
     }
