Zones: a zone that is back is asked, though a machine known by records alone seems to boot

Work bound to a zone that had been cut off three times waited for up to 190 s and longer after the last cut.

Ruled out: placement; no machine there had room (the check neglected stays silent). Weighed and left: hires one at a time on the way back, which would open a zone that comes and goes.

--- a/crates/core/src/reign/machines.rs
+++ b/crates/core/src/reign/machines.rs
@@ -233,13 +233,20 @@
     /// now and then one machine is hired to see whether the zone lives, if none is on its way there. One that is silent
     /// tells nothing: it may be dead, and work that may run nowhere else waited five minutes for it. While one that boots is
     /// waited for, or all kinds are refused, the hire is put off, not left out.
-    pub(super) fn probe_zones(&mut self, desk: &mut CloudDesk, now: Mono) {
+    pub(super) fn probe_zones(&mut self, settings: &Settings, desk: &mut CloudDesk, now: Mono) {
         for zone in self.fleet.zones.all_lost() {
             desk.unwish(zone);
         }
-        for zone in self.fleet.zones.due_probes(now) {
-            let waits = |m: &Machine| m.zone == zone && m.life == Life::Booting;
-            if self.fleet.machines.values().any(waits) {
+        let due = self.fleet.zones.due_probes(now);
+        // Hired lately, and not what is known by records alone, or never comes up: that kept work which may run nowhere else
+        // waiting for two minutes.
+        let coming =
+            if due.is_empty() { BTreeSet::new() } else { self.coming(settings, desk, now) };
+        for zone in due {
+            // What is live there on the zone's way back shows by its own reports whether it lasts.
+            let returning = !self.fleet.zones.lost(&zone);
+            let live = |m: &Machine| m.zone == zone && m.life == Life::Live;
+            if coming.contains(&zone) || returning && self.fleet.machines.values().any(live) {
                 continue;
             }
             let flavors = self.fleet.catalog.iter().flat_map(|c| &c.flavors);
--- a/crates/core/src/reign/mod.rs
+++ b/crates/core/src/reign/mod.rs
@@ -396,7 +396,7 @@
             self.next_tick = now.plus(ops.tick());
             self.watch_machines(settings, ops, desk, now);
             self.find_overdue(settings, now);
-            self.probe_zones(desk, now);
+            self.probe_zones(settings, desk, now);
             self.drain(now);
             self.try_again(now);
             self.learn_nodes();
--- a/crates/zones/src/lib.rs
+++ b/crates/zones/src/lib.rs
@@ -217,10 +217,13 @@
         matches!(self.standing(zone), Standing::Lost { since } if now.since(since) < SENTINEL_MS)
     }
 
-    /// Lost zones in which one machine may be hired now to see whether they live.
+    /// Zones in which one machine may be hired now to see whether they live: lost ones, and those on their way back,
+    /// whose way is long after several losses, and on which all machines may be gone that could report.
     pub fn due_probes(&self, now: Mono) -> Vec<Zone> {
-        let due =
-            |(_, state): &(&Zone, &State)| state.standing.is_lost() && now >= state.next_probe;
+        let asked = |standing: Standing| {
+            standing.is_lost() || matches!(standing, Standing::Returning { .. })
+        };
+        let due = |(_, state): &(&Zone, &State)| asked(state.standing) && now >= state.next_probe;
         self.states.iter().filter(due).map(|(zone, _)| zone.clone()).collect()
     }
 
@@ -335,6 +338,8 @@
         zones.observe(&seen(mute(9), all(100, 20_000)), Mono(20_000));
         zones.observe(&seen(all(1, 200_000), all(100, 200_000)), Mono(200_000));
         assert!(matches!(zones.standing(&zone("a")), Standing::Returning { .. }));
+        assert_eq!(zones.due_probes(Mono(200_000)), [zone("a")], "before its way back is over");
+        assert_eq!(zones.hires(&zone("a")), Hires::None);
         let later = Mono(200_000).plus(RETURN_MS);
         zones.observe(&others(), later);
         assert!(zones.lost(&zone("a")));
