Gangs: a kept result frees only the tasks that have ended

When one task of a gang told that it is done, the book freed all others, since a gang completes together. That is so of those that ran with it. A gang whose end nobody heard of (its leases ended while nobody led) is started again, and each task ends with the kept result as soon as it has its image: the first one freed the others while they were still fetching, in their team's limit and on their machines, and the job was called done. Others of the team could start beside them: 16 GPUs of 14 in a_gangs_kept_result_frees_only_what_has_ended, which fails on the sources before. Now only those that were seen to run in the same attempt are freed with it.

The check neglected leaves out jobs whose tasks fail by their own doing, which wait longer after each failure: it took the failing arrays of tests/repeats.rs for neglected.

--- a/crates/core/src/reign/reports.rs
+++ b/crates/core/src/reign/reports.rs
@@ -282,7 +282,8 @@
     }
 
     /// A task is done; the tasks of a gang complete together. Guards against a gang some of whose
-    /// tasks are done, which could never start again.
+    /// tasks are done, which could never start again. Those that were not seen to run with it are only on their way, and it
+    /// has told a result that was kept: they are done too, and count where they are until they are proven gone.
     pub(super) fn done(&mut self, id: &JobId, index: u32, ran_ms: Option<u64>, now: Mono) {
         let Some(job) = self.book.get(id) else { return };
         let rest: Vec<u32> = match job.spec.shape {
@@ -291,7 +292,19 @@
                 .collect(),
             _ => Vec::new(),
         };
+        let attempt = job.hold(index).map(|hold| hold.attempt);
+        let still_there = |i: &u32| {
+            let ran = |hold: &Hold| {
+                let runs = matches!(hold.phase, Some(TaskPhase::Running | TaskPhase::Saving));
+                runs && Some(hold.attempt) == attempt
+            };
+            job.hold(*i).is_some_and(|hold| !ran(hold))
+        };
+        let (there, rest): (Vec<u32>, Vec<u32>) = rest.into_iter().partition(still_there);
         self.free(id, index, true, now);
+        for other in there {
+            self.stop(&TaskId::new(id, other), StopWhy::JobOver, 0.0, now);
+        }
         for other in rest {
             // They began with it, and ended with it.
             self.account(id, other, End::Seen(Cause::Done), (false, ran_ms), now);
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -4,15 +4,22 @@
 #[allow(dead_code)]
 mod world;
 
+use oatloom_core::api::Request;
+use oatloom_core::jobs::{ChunkRecord, LiveRecord};
 use oatloom_emulator::checker::Place;
-use oatloom_emulator::worker::{Fetch, Instance, Times, Worker};
-use oatloom_protocol::ids::{JobId, Zone};
-use oatloom_protocol::wire::{JobSpec, JobStatus, Rank, Shape, TaskPhase};
+use oatloom_emulator::worker::{Broken, Fetch, Instance, Times, Worker};
+use oatloom_protocol::ids::{Attempt, HostId, JobId, Shift, Tally, Zone};
+use oatloom_protocol::wire::{
+    Cause, Change, JobSpec, JobStatus, Order, Rank, Report, ReportAnswer, Shape, TaskPhase,
+    TaskReport,
+};
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use serde_json::json;
 use std::collections::BTreeSet;
 use world::limits::{Free, NEGLECTED_MS, Neglect, Terms, placeable, site};
+use world::solo::Solo;
 use world::{Fault, Site, Upon, World, more_days, show_log, small_array};
 
 /// Troubles are over from then on, in milliseconds.
@@ -103,6 +110,9 @@
     assert!(neglected(&mut unaccepted, late));
     let broken = &unaccepted.region.checker.broken;
     assert!(broken.iter().all(|text| text.contains("req-1")), "{broken:?}");
+    let mut broken = planted(0.0, |_| {});
+    broken.region.outside.broken.insert("req-1".into(), Broken::Always);
+    assert!(!neglected(&mut broken, late), "it waits since it fails");
     // Room, and limits, by the truth of the workers.
     let mut full = planted(0.0, |_| {});
     occupy(&mut full, 3.5);
@@ -690,3 +700,93 @@
     println!("seconds until all work of a zone that is back has begun: {waits:?}");
     assert!(waits.iter().all(|wait| *wait <= SOON_S), "{waits:?}");
 }
+
+// --- A result that was kept ------------------------------------------------------------------------
+
+/// What a machine reports to the only controller, and what it is told.
+fn told(solo: &mut Solo, host: &str, tally: u64, tasks: &[(&str, TaskPhase)]) -> Vec<Order> {
+    let token = solo.core.valid(solo.clock().mono).expect("it leads");
+    let row = |(task, status): &(&str, TaskPhase)| TaskReport {
+        task: (*task).into(),
+        attempt: Attempt(5),
+        status: *status,
+        cause: (*status == TaskPhase::Exited).then_some(Cause::Done),
+        stored: false,
+        ran_ms: None,
+    };
+    let report = Report {
+        host: HostId::new(host),
+        addr: format!("10.0.0.9:{}", &host[2..]),
+        flavor: "g4".into(),
+        zone: Zone::new("a"),
+        spot: false,
+        shift: Shift(1),
+        tally: Tally(tally),
+        token,
+        notice_s: None,
+        tasks: tasks.iter().map(row).collect(),
+    };
+    let conn = solo.ask(Request::Report(Box::new(report)));
+    solo.pass(3_500);
+    let reply = solo.reply(conn).expect("answered");
+    let answer: ReportAnswer = serde_json::from_str(&reply.body).expect("an answer");
+    answer.orders
+}
+
+/// A gang of which nobody knows that it has completed is started again, and the task that has its image first ends at once
+/// with the result that was kept, while the others are still fetching. They count in their team's limit, and the job is not
+/// done, until their own machines say that they are gone.
+#[test]
+fn a_gangs_kept_result_frees_only_what_has_ended() {
+    show_log();
+    for gone in [false, true] {
+        let mut solo = Solo::new();
+        let big = |id: &str, tasks| JobSpec {
+            team: "red".into(),
+            tasks,
+            gpus: 4.0,
+            ..small_array(id, 9)
+        };
+        let live = |spec: JobSpec| {
+            let key = format!("live/{}", spec.id);
+            Change::put(key, json!(LiveRecord { spec, wall_ms: 1_000_000, part: None }))
+        };
+        // Twelve of the team's fourteen GPUs.
+        let gang = JobSpec { shape: Shape::Gang, ..big("req-1", 3) };
+        let held = |index: u32| {
+            let host = HostId::new(&format!("i-{}", index + 1));
+            (index, Attempt(5), host, Shift(1), Zone::new("a"))
+        };
+        let record = ChunkRecord {
+            done: String::new(),
+            held: (0..3).map(held).collect(),
+            size: ("red".into(), 1.0, 4.0, 1.0, 3),
+            charges: Default::default(),
+            usage: Default::default(),
+        };
+        solo.write(vec![
+            live(gang),
+            // What the first task's end leaves of the limit does not suffice for it.
+            live(JobSpec { shape: Shape::Gang, ..big("req-2", 2) }),
+            Change::put("asg/req-1/0000".into(), json!(record)),
+        ]);
+        solo.pass(500);
+        let fetches = |task| [(task, TaskPhase::Fetching)];
+        told(&mut solo, "i-1", 1, &fetches("req-1/0"));
+        told(&mut solo, "i-2", 1, &fetches("req-1/1"));
+        told(&mut solo, "i-3", 1, &fetches("req-1/2"));
+        told(&mut solo, "i-4", 1, &[]);
+        told(&mut solo, "i-1", 2, &[("req-1/0", TaskPhase::Exited)]);
+        let ended = |task| [(task, if gone { TaskPhase::Exited } else { TaskPhase::Fetching })];
+        let stops = [("i-2", "req-1/1"), ("i-3", "req-1/2")].map(|(host, task)| {
+            let orders = told(&mut solo, host, 2, &ended(task));
+            orders.iter().any(|order| matches!(order, Order::Stop { task: t, .. } if t == task))
+        });
+        assert_eq!(stops, [!gone; 2], "what is still there is told to stop");
+        let mut orders = told(&mut solo, "i-1", 3, &[]);
+        orders.extend(told(&mut solo, "i-4", 2, &[]));
+        let runs = orders.iter().any(|order| matches!(order, Order::Run { .. }));
+        assert_eq!(runs, gone, "the limit counts what is still there: {orders:?}");
+        assert_eq!(!solo.state.rows("over/req-1").is_empty(), gone);
+    }
+}
--- a/tests/world/limits.rs
+++ b/tests/world/limits.rs
@@ -117,7 +117,8 @@
     }
 
     /// Accepted jobs that wait though a machine that fits has room and their team is under its limit by enough: of arrays
-    /// and services for one task, of gangs for all.
+    /// and services for one task, of gangs for all. Those whose tasks fail by their own doing are apart: they wait longer
+    /// after each failure.
     pub fn could_run(&self) -> BTreeSet<String> {
         let specs = &self.region.outside.specs;
         let mut placed: BTreeMap<&str, BTreeSet<u32>> = BTreeMap::new();
@@ -160,6 +161,7 @@
             if !user.accepted
                 || user.abort_at.is_some_and(|at| self.now >= at)
                 || self.region.checker.over(id).is_some()
+                || self.region.outside.broken.contains_key(id)
                 || !(0..spec.tasks).any(wants)
             {
                 return false;
