--- a/crates/core/src/reign/mod.rs
+++ b/crates/core/src/reign/mod.rs
@@ -308,8 +308,9 @@
             machine.free(&TaskId::new(id, index), now);
         }
         // A gang of which a task is done has completed, however the others end.
-        let completed =
-            |job: &Job| job.spec.shape == Shape::Gang && job.done > 0 && job.state == JobState::Open;
+        let completed = |job: &Job| {
+            job.spec.shape == Shape::Gang && job.done > 0 && job.state == JobState::Open
+        };
         let done = done || self.book.get(id).is_some_and(completed);
         self.book.free(id, index, done);
         self.place_dirty = true;
