Placement: nothing is given to machines whose lease ran out before they were heard of again

Cause: after an outage longer than a lease the leader is valid again before its machines have reported, and bears their silence for eight seconds and three and a half report periods more. Those that died in the outage stayed live: tasks whose leases had run out were freed, placed there by the next pass, freed again, twice a second.

Ruled out: shorter patience, which takes the whole fleet for dead after every outage. Now such a machine counts as on its way, as one that boots does: nothing starts there until it reports, and nothing is hired in its place until it is taken for silent.

--- a/crates/core/src/placement/ready.rs
+++ b/crates/core/src/placement/ready.rs
@@ -19,8 +19,7 @@
     if !boot_s.is_finite() || window_s < boot_s {
         return Vec::new();
     }
-    let mut classes: BTreeMap<&str, (u32, u32, u32, &JobSpec)> =
-        BTreeMap::new();
+    let mut classes: BTreeMap<&str, (u32, u32, u32, &JobSpec)> = BTreeMap::new();
     let mut buckets: BTreeMap<(&str, u64), u32> = BTreeMap::new();
     let whole = |spec: &JobSpec| if spec.shape == Shape::Gang { spec.tasks } else { 1 };
     let may_start = |spec: &JobSpec| headroom.tasks(spec).is_none_or(|most| most >= whole(spec));
--- a/crates/core/src/placement/slots.rs
+++ b/crates/core/src/placement/slots.rs
@@ -15,6 +15,7 @@
 #[derive(Debug)]
 pub(super) struct Slot<'a> {
     pub machine: Option<&'a Machine>,
+    when: When,
     /// Being emptied: used again before another machine is hired, but only then.
     closing: bool,
     kind: usize,
@@ -111,6 +112,7 @@
 /// Whether new tasks may go to the machine.
 pub(super) fn usable(fleet: &Fleet, m: &Machine, now: Mono) -> bool {
     matches!(m.life, Life::Live | Life::Closing)
+        && !m.lapsed
         && now >= m.paused_until
         && !fleet.zones.lost(&m.zone)
 }
@@ -138,20 +140,25 @@
         }
         for m in fleet.machines.values() {
             let live = usable(fleet, m, now);
+            // After an outage longer than a lease all machines are to be heard of again. Guards against tasks that are given,
+            // again and again, to those that died in it, and against hiring for all that will report within seconds.
+            let back = m.lapsed && matches!(m.life, Life::Live | Life::Closing);
             // Guards against waiting for machines of a zone that is cut off: they boot, and nobody hears of it.
-            if !live && (m.life != Life::Booting || fleet.zones.lost(&m.zone)) {
+            if !live && (m.life != Life::Booting && !back || fleet.zones.lost(&m.zone)) {
                 continue;
             }
             let Some(flavor) = flavors().find(|f| f.label == m.flavor) else { continue };
             // Guards against waiting for a machine that never comes up while others could be hired.
-            if !live && now.since(m.born).secs() > flavor.boot_s * BOOT_SPREAD {
+            if !live && !back && now.since(m.born).secs() > flavor.boot_s * BOOT_SPREAD {
                 continue;
             }
             let reserved = m.kept_for(now);
             yard.kept_for.extend(reserved);
             let kind = yard.kind(flavor, &m.zone, m.spot);
+            let when = if live { When::Live } else { When::Coming };
             let slot = Slot {
                 machine: Some(m),
+                when,
                 closing: m.life == Life::Closing,
                 kind,
                 free: fleet.free_room(m),
@@ -161,7 +168,7 @@
                 report_in_s: m.report_in(report_s, now),
                 fetching: m.fetching(),
             };
-            yard.push(slot, if live { When::Live } else { When::Coming });
+            yard.push(slot);
         }
         for (kind, number) in awaited.iter().filter(|(kind, _)| !fleet.zones.lost(&kind.zone)) {
             let Some(flavor) = flavors().find(|f| f.label == kind.flavor) else { continue };
@@ -183,9 +190,10 @@
         })
     }
 
-    fn push(&mut self, slot: Slot<'a>, when: When) -> usize {
+    fn push(&mut self, slot: Slot<'a>) -> usize {
         let at = self.slots.len();
         self.counts[slot.kind] += 1;
+        let when = slot.when;
         self.slots.push(slot);
         match when {
             When::Live => self.live.push(at),
@@ -199,6 +207,7 @@
         let flavor = self.kinds[kind].0;
         let slot = Slot {
             machine: None,
+            when: When::Coming,
             closing: false,
             kind,
             free: Room::from(flavor),
@@ -208,7 +217,7 @@
             report_in_s: 0.0,
             fetching: Vec::new(),
         };
-        self.push(slot, When::Coming)
+        self.push(slot)
     }
 
     /// Machines in a zone, wished ones included.
@@ -351,8 +360,10 @@
     pub fn offer(&self, search: &mut Search, at: usize, need: &Need) {
         let again = if need.job.apart().is_some() { APART_WEIGHT } else { 0.0 };
         let candidate = Candidate { score: self.score(need, &self.slots[at]) + again, at };
-        let live = self.slots[at].machine.is_some_and(|m| m.life != Life::Booting);
-        let heap = if live { &mut search.live } else { &mut search.coming };
+        let heap = match self.slots[at].when {
+            When::Live => &mut search.live,
+            When::Coming => &mut search.coming,
+        };
         heap.get_or_insert_default().push(candidate);
     }
 
@@ -363,7 +374,7 @@
     /// The live machines on which places were taken since the mark.
     pub fn live_since(&self, mark: Mark) -> impl Iterator<Item = &'a Machine> + '_ {
         let slots = self.taken[mark.taken..].iter().map(|taken| &self.slots[taken.at]);
-        slots.filter_map(|slot| slot.machine).filter(|m| m.life != Life::Booting)
+        slots.filter(|slot| slot.when == When::Live).filter_map(|slot| slot.machine)
     }
 
     /// What a machine more in the zone counts by the hour, of prices that are equal otherwise: the
--- a/crates/core/src/reign/machines.rs
+++ b/crates/core/src/reign/machines.rs
@@ -91,9 +91,11 @@
         let mut expired = Vec::new();
         let catalog = self.fleet.catalog.as_ref();
         for m in self.fleet.machines.values_mut() {
-            if now > Fleet::horizon(m, self.since, facts.lease_s) && !m.held.is_empty() {
+            let horizon = Fleet::horizon(m, self.since, facts.lease_s);
+            if now > horizon && !m.held.is_empty() {
                 expired.push(m.id.clone());
             }
+            m.lapsed = now > horizon && m.last_report.is_some_and(|at| at <= horizon);
             if m.life == Life::Releasing {
                 continue;
             }
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -118,8 +118,8 @@
     pub told_at: Mono,
     /// Answers in a row that it has not heard, as its next report showed.
     pub unheard: u32,
-    /// Its held tasks were given up when its lease had run out; only a newer shift counts again.
-    pub expired_shift: Option<Shift>,
+    /// Whether its lease has run out since it was last heard of: its tasks are gone, and it may be gone too.
+    pub lapsed: bool,
 }
 
 impl Machine {
@@ -314,7 +314,7 @@
                 unheard: 0,
                 images: Vec::new(),
                 reserved: None,
-                expired_shift: None,
+                lapsed: false,
             }
         })
     }
@@ -337,6 +337,7 @@
         m.shift = report.shift;
         m.tally = report.tally;
         m.last_report = Some(now);
+        m.lapsed = false;
         let confirmed = report.token == token;
         m.attested |= confirmed;
         m.taken_at = report.notice_s.map(|s| now.plus(Millis::from_secs(s)));
--- a/tests/machines.rs
+++ b/tests/machines.rs
@@ -469,3 +469,40 @@
         assert_eq!(held(&solo), None, "{what}: a newer report does not list it");
     }
 }
+
+/// The state service is out for longer than a lease, and half of the machines die meanwhile. Guards against work that is
+/// given, again and again, to machines that are not heard of any more: twice a second, for as long as their silence is borne.
+#[test]
+fn nothing_is_given_to_machines_that_died_in_an_outage() {
+    show_log();
+    for seed in 0..4 + more_days() {
+        let faults = vec![(60_000, Fault::StoreOutage(45_000)), (75_000, Fault::HalfDie)];
+        let mut world = World::scripted(seed, faults, 110_000, None);
+        world.alone();
+        for n in 0..8 {
+            world.add_job_at(small_array(&format!("req-{n}"), 200), 5_000 + n * 500);
+        }
+        world.play_to(74_000);
+        let up = |world: &World| -> Vec<String> { world.region.workers.keys().cloned().collect() };
+        let before = up(&world);
+        let running = world.region.checker.on_machines().count();
+        assert!(running >= 6, "seed {seed}: {running} tasks run");
+        world.play_to(104_000);
+        let left = up(&world);
+        world.play_to(170_000);
+        let dead = before.iter().filter(|host| !left.contains(host));
+        let dead: Vec<HostId> = dead.map(|host| HostId::new(host)).collect();
+        assert!(!dead.is_empty(), "seed {seed}: machines died");
+        // Each attempt that was on one of them ends there once.
+        let ended = world.ended_attempts();
+        let there = ended.iter().filter(|((_, _, host), _)| dead.contains(host));
+        let there: usize = there.map(|(_, times)| times).sum();
+        assert!(
+            there <= running,
+            "seed {seed}: {there} attempts ended on dead machines, {running} ran before"
+        );
+        let runs = world.region.checker.on_machines().count();
+        assert!(runs >= running, "seed {seed}: {runs} tasks run again");
+        check(&world, &format!("seed {seed}"));
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -2,16 +2,16 @@
 //! protocol describes them, with delays, losses, late deliveries and failures, all from one seed.
 
 pub mod graphs;
+pub mod limits;
 pub mod looks;
 pub mod machines;
-pub mod limits;
 pub mod served;
 pub mod solo;
 pub mod state;
 
 use graphs::Clients;
-use looks::Looks;
 use limits::Neglect;
+use looks::Looks;
 use oatloom_core::api::{Request, Submission};
 use oatloom_core::cloud::{CloudOp, CloudReply};
 use oatloom_core::constants::CLOCK_START_MS;
