--- a/crates/core/src/reign/machines.rs
+++ b/crates/core/src/reign/machines.rs
@@ -95,7 +95,8 @@
             if now > horizon && !m.held.is_empty() {
                 expired.push(m.id.clone());
             }
-            m.lapsed = now > horizon && m.last_report.is_some_and(|at| at <= horizon);
+            // Only where nobody could answer it for so long: silence of its own has a patience of its own.
+            m.lapsed = horizon < self.heard_from && m.last_report.is_some_and(|at| at <= horizon);
             if m.life == Life::Releasing {
                 continue;
             }
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -118,7 +118,8 @@
     pub told_at: Mono,
     /// Answers in a row that it has not heard, as its next report showed.
     pub unheard: u32,
-    /// Whether its lease has run out since it was last heard of: its tasks are gone, and it may be gone too.
+    /// Whether its lease ran out while this leader could answer nobody, and it was not heard of since: its tasks are gone, and
+    /// it may be gone too.
     pub lapsed: bool,
 }
 
