--- a/crates/core/src/placement/limits.rs
+++ b/crates/core/src/placement/limits.rs
@@ -1,47 +1,52 @@
 //! What teams' limits leave to be started.
 
 use super::*;
+use oatloom_protocol::settings::Team;
 use oatloom_protocol::wire::JobSpec;
 
-/// What each team may use beyond what its tasks take now; teams without a limit are not in it.
+/// How many more tasks of this kind a team's limit allows beside what it uses.
+pub(super) fn allowed(team: &Team, used: Usage, spec: &JobSpec) -> u32 {
+    let more = |cap: f64, used: f64, each: f64| {
+        if cap <= 0.0 || each <= 0.0 {
+            f64::MAX
+        } else {
+            ((cap - used) / each + 1e-6).floor().max(0.0)
+        }
+    };
+    let count =
+        more(team.cpus_max, used.cpus, spec.cpus).min(more(team.gpus_max, used.gpus, spec.gpus));
+    if count >= f64::from(u32::MAX) { u32::MAX } else { count as u32 }
+}
+
+/// What each team with a limit uses, and what is counted beside it.
 #[derive(Debug)]
-pub struct Headroom {
-    left: BTreeMap<String, Usage>,
+pub struct Headroom<'a> {
+    used: BTreeMap<&'a str, (&'a Team, Usage)>,
 }
 
-impl Headroom {
-    pub fn new(settings: &Settings, book: &Book) -> Self {
-        let limited =
-            settings.facts.teams.iter().filter(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0).map(|t| {
-                let used = book.usage.get(&t.name).copied().unwrap_or_default();
-                let left = |most: f64, used: f64| if most > 0.0 { most - used } else { f64::MAX };
-                let left =
-                    Usage { cpus: left(t.cpus_max, used.cpus), gpus: left(t.gpus_max, used.gpus) };
-                (t.name.clone(), left)
-            });
-        Self { left: limited.collect() }
+impl<'a> Headroom<'a> {
+    pub fn new(settings: &'a Settings, book: &Book) -> Self {
+        let limited = |t: &&Team| t.cpus_max > 0.0 || t.gpus_max > 0.0;
+        let used = |t: &'a Team| (t, book.usage.get(&t.name).copied().unwrap_or_default());
+        let teams = settings.facts.teams.iter().filter(limited);
+        Self { used: teams.map(|t| (t.name.as_str(), used(t))).collect() }
     }
 
     /// Whether no team has a limit.
     pub fn boundless(&self) -> bool {
-        self.left.is_empty()
+        self.used.is_empty()
     }
 
     /// How many more tasks of this kind the team may have at once; `None`: any number.
     pub fn tasks(&self, spec: &JobSpec) -> Option<u32> {
-        let left = self.left.get(&spec.team)?;
-        let more = |left: f64, each: f64| {
-            if each <= 0.0 { f64::MAX } else { (left / each + 1e-6).floor().max(0.0) }
-        };
-        let count = more(left.cpus, spec.cpus).min(more(left.gpus, spec.gpus));
-        Some(if count >= f64::from(u32::MAX) { u32::MAX } else { count as u32 })
+        self.used.get(spec.team.as_str()).map(|(team, used)| allowed(team, *used, spec))
     }
 
     /// Counts so many more tasks.
     pub fn take(&mut self, spec: &JobSpec, tasks: u32) {
-        if let Some(left) = self.left.get_mut(&spec.team) {
-            left.cpus -= spec.cpus * f64::from(tasks);
-            left.gpus -= spec.gpus * f64::from(tasks);
+        if let Some((_, used)) = self.used.get_mut(spec.team.as_str()) {
+            used.cpus += spec.cpus * f64::from(tasks);
+            used.gpus += spec.gpus * f64::from(tasks);
         }
     }
 }
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -257,19 +257,7 @@
             return 0;
         };
         let used = self.usage.get(&job.spec.team).copied().unwrap_or_default();
-        let more = |cap: f64, used: f64, each: f64| {
-            if cap <= 0.0 || each <= 0.0 {
-                f64::MAX
-            } else {
-                ((cap - used) / each + 1e-6).floor().max(0.0)
-            }
-        };
-        let count = more(team.cpus_max, used.cpus, job.spec.cpus).min(more(
-            team.gpus_max,
-            used.gpus,
-            job.spec.gpus,
-        ));
-        if count >= f64::from(u32::MAX) { u32::MAX } else { count as u32 }
+        limits::allowed(team, used, &job.spec)
     }
 
     /// The zones of a job's tasks, those that this pass has started included.
--- a/crates/core/src/reign/capacity.rs
+++ b/crates/core/src/reign/capacity.rs
@@ -19,13 +19,13 @@
 /// Cuts what jobs ask for to what their teams' limits let run at once, in the order in which they would run; says what the
 /// limits leave. Guards against machines for work that may not run on them: the document sums s = r/d of all jobs, and has
 /// no limits.
-fn limit_wants(
-    settings: &Settings,
+fn limit_wants<'s>(
+    settings: &'s Settings,
     book: &Book,
     owed: &BTreeMap<JobId, ()>,
     wants: &mut BTreeMap<&JobId, Want>,
     now: Mono,
-) -> Headroom {
+) -> Headroom<'s> {
     let mut headroom = Headroom::new(settings, book);
     if headroom.boundless() {
         return headroom;
@@ -114,12 +114,12 @@
     }
 
     /// Rates of all jobs, the target N*, the floor of services, gangs and guarantees, and what teams' limits leave beside them.
-    pub(super) fn demand(
+    pub(super) fn demand<'s>(
         &mut self,
-        settings: &Settings,
+        settings: &'s Settings,
         tick_s: f64,
         now: Mono,
-    ) -> (f64, f64, Vec<(JobId, Claim)>, Headroom) {
+    ) -> (f64, f64, Vec<(JobId, Claim)>, Headroom<'s>) {
         let owed = placement::guaranteed(settings, &self.book);
         for job in self.book.jobs.values_mut() {
             if let Some(measured) = job.measured.take() {
