Zones: one that no work needs alone is asked half as often whether it lives

Now a zone is asked after 75 s if work waits that may run nowhere else (by its own wish or its machine types), after 150 s otherwise: what is up elsewhere serves the rest, and the silent machine that is kept tells as much for nothing. The three tests of tests/zones.rs, the twelve of tests/limits.rs and those of the package pass.

--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -19,7 +19,7 @@
 pub use limits::{Headroom, in_order};
 use oatloom_protocol::ids::*;
 use oatloom_protocol::settings::Settings;
-use oatloom_protocol::wire::{Flavor, Shape};
+use oatloom_protocol::wire::{Flavor, JobSpec, Shape};
 use places::Places;
 pub use ready::expected;
 use slots::{Search, When, Yard, usable};
@@ -91,16 +91,32 @@
     }
 }
 
-/// Whether a task of the job fits some machine type that it may use.
-pub fn fits_some(spec: &oatloom_protocol::wire::JobSpec, flavors: &[Flavor]) -> bool {
+/// Machine types that a task of the job fits and may use.
+fn fitting<'a>(
+    spec: &'a JobSpec,
+    flavors: &'a [Flavor],
+) -> impl Iterator<Item = &'a Flavor> + use<'a> {
     let need = Room::from(spec);
-    flavors.iter().any(|f| {
+    flavors.iter().filter(move |f| {
         spec.flavors.as_ref().is_none_or(|list| list.contains(&f.label))
             && spec.zone.as_ref().is_none_or(|z| f.zones.contains(z))
-            && Room::from(f).fits(&need)
+            && Room::from(*f).fits(&need)
     })
 }
 
+/// Whether a task of the job fits some machine type that it may use.
+pub fn fits_some(spec: &JobSpec, flavors: &[Flavor]) -> bool {
+    fitting(spec, flavors).next().is_some()
+}
+
+/// Whether the job's tasks may run in this zone and nowhere else, by its own wish or by its machine types.
+pub fn needs_zone(spec: &JobSpec, flavors: &[Flavor], zone: &Zone) -> bool {
+    match &spec.zone {
+        Some(only) => only == zone,
+        None => fitting(spec, flavors).all(|f| f.zones.iter().all(|z| z == zone)),
+    }
+}
+
 /// Whether one more task of the job may be on the machine: its own wishes, the zones of its other
 /// tasks and its team's limit. Checked once more for every single start, whatever a plan says.
 pub fn permitted(settings: &Settings, book: &Book, job: &Job, machine: &Machine) -> bool {
--- a/crates/core/src/reign/machines.rs
+++ b/crates/core/src/reign/machines.rs
@@ -232,6 +232,13 @@
         hired.chain(desk.awaited().map(|(kind, _)| kind.zone)).collect()
     }
 
+    /// Whether work waits that may run in this zone and nowhere else.
+    fn waited_for(&self, zone: &Zone, now: Mono) -> bool {
+        let flavors = self.fleet.catalog.as_ref().map_or(&[][..], |c| &c.flavors);
+        let waits = |j: &Job| j.state == JobState::Open && j.startable(now) > 0;
+        self.book.jobs.values().any(|j| waits(j) && placement::needs_zone(&j.spec, flavors, zone))
+    }
+
     /// In a zone that is lost nothing is hired as needed. What was wished for there and not asked for yet is let go;
     /// now and then one machine is hired to see whether the zone lives, if none is on its way there. One that is silent
     /// tells nothing: it may be dead, and work that may run nowhere else waited five minutes for it. While one that boots is
@@ -240,7 +247,7 @@
         for zone in self.fleet.zones.all_lost() {
             desk.unwish(zone);
         }
-        let due = self.fleet.zones.due_probes(now);
+        let due = self.fleet.zones.due_probes(now, |zone| self.waited_for(zone, now));
         // Hired lately, and not what is known by records alone, or never comes up: that kept work which may run nowhere else
         // waiting for two minutes.
         let coming =
--- a/crates/zones/src/constants.rs
+++ b/crates/zones/src/constants.rs
@@ -18,6 +18,9 @@
 /// one which cannot report costs little. Work that may run nowhere else waits for it, and some machines never come up:
 /// with 120 s such work waited for up to four minutes.
 pub const PROBE_EVERY_MS: Millis = Millis(75_000);
+/// How much longer such a hire waits where no work needs just this zone: what is up elsewhere serves it, and a silent machine
+/// that was kept tells as much for nothing.
+pub const UNNEEDED_MORE_MS: Millis = Millis(75_000);
 /// How long one silent machine of a lost zone is kept: it reports the moment the zone is back, where one hired then
 /// would have to boot. What is silent for longer is dead as likely as cut off.
 pub const SENTINEL_MS: Millis = Millis(300_000);
