Tests: late commands of former leaders, threes of troubles, lost answers drawn with the others

By reading: only stops go directly, they name an attempt that no later leader gives again, a worker that has heard a later leader refuses them, and what a direct answer does not list proves nothing.

No fault found. Pairs are drawn from 23 troubles, before 21, and threes are new.

--- a/tests/machines.rs
+++ b/tests/machines.rs
@@ -8,7 +8,9 @@
 use oatloom_core::jobs::{ChunkRecord, LiveRecord, RunSent};
 use oatloom_core::store::StoreOp;
 use oatloom_protocol::ids::{Attempt, HostId, JobId, Shift, Tally, TaskId, Token, Zone};
-use oatloom_protocol::wire::{Cause, Change, JobSpec, JobStatus, Report, TaskPhase, TaskReport};
+use oatloom_protocol::wire::{
+    Cause, Change, JobSpec, JobStatus, Report, Shape, TaskPhase, TaskReport,
+};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
@@ -493,3 +495,62 @@
         check(&world, &format!("seed {seed}"));
     }
 }
+
+/// Direct commands are held up for seconds while leaders end, are deposed or stand still; jobs are cancelled, preempted and
+/// drained meanwhile.
+fn late_commands_of_former_leaders(seed: u64) -> Met {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let changes: Vec<u64> =
+        (0..5).map(|n| 25_000 + n * 24_000 + rng.random_range(0..8_000)).collect();
+    let mut faults = vec![(5_000, Fault::LateCommands(CALM_MS - 25_000, 950))];
+    for at in &changes {
+        let machine = match rng.random_range(0..3) {
+            0 => Fault::SpotTaken,
+            1 => Fault::MachineHangs(12_000),
+            _ => Fault::MachineCut(12_000),
+        };
+        faults.push((at - rng.random_range(500..4_000), machine));
+        let upon = match rng.random_range(0..4) {
+            0 => Fault::Leader(Upon::Crash),
+            1 => Fault::Leader(Upon::Refused(9_000)),
+            2 => Fault::Leader(Upon::Parted(9_000)),
+            _ => Fault::LeaderAsleep(7_000),
+        };
+        faults.push((*at, upon));
+    }
+    faults.sort_by_key(|(at, _)| *at);
+    let mut world = World::scripted(seed, faults, CALM_MS, Some(Shape::Gang));
+    world.restart_ms = [50, 300, 5_000][rng.random_range(0..3)];
+    crowd(&mut world, &mut rng, &changes);
+    // Machines reach no controller while their jobs are cancelled: stops go to them by direct commands only, again and again.
+    for (n, at) in (0..).zip(&changes) {
+        for k in 0..4 {
+            world.add_job_at(limited(500 + n * 10 + k, 4, 200), at - 24_000);
+            world.cancel_last(at - rng.random_range(1_000..12_000));
+        }
+    }
+    for at in &changes {
+        world.watch_to(at - 15_000);
+        world.mute(rng.random_range(12_000..26_000), 1);
+    }
+    world.watch_to(CALM_MS + 190_000);
+    finished(&world, &format!("seed {seed}"));
+    world.machines.met
+}
+
+/// Guards against orders of a leader that has ended or was deposed which undo, or do again, what the next one has decided:
+/// only stops go directly, they name an attempt that no later leader gives again, and a worker that has heard a later leader
+/// refuses them.
+#[test]
+fn direct_commands_of_a_former_leader_that_come_late_change_nothing_of_the_next_ones() {
+    show_log();
+    let mut sum = Met::default();
+    for seed in 300..308 + more_days() {
+        let met = late_commands_of_former_leaders(seed);
+        sum.outranked += met.outranked;
+        sum.deposed += met.deposed;
+        sum.stopped += met.stopped;
+    }
+    eprintln!("{sum:?}");
+    assert!(sum.outranked > 20 && sum.deposed > 10 && sum.stopped > 4, "{sum:?}");
+}
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -13,7 +13,7 @@
 /// One trouble, drawn, that lasts about `span`.
 fn trouble(rng: &mut ChaCha8Rng, span: u64) -> Fault {
     let node = rng.random_range(0..3);
-    match rng.random_range(0..21) {
+    match rng.random_range(0..23) {
         0 => Fault::Crash(node),
         1 => Fault::CrashAll,
         2 => Fault::StoreOutage(span),
@@ -34,20 +34,24 @@
         17 => Fault::HalfDie,
         18 => Fault::Apart(node, rng.random_range(0..3), span),
         19 => Fault::SpotTaken,
+        20 => Fault::LateCommands(span, 700),
+        21 => Fault::AnswersLost(span, 500),
         _ => Fault::StoreRestart,
     }
 }
 
-/// Pairs of troubles at overlapping times, three to a day.
-fn pairs(seed: u64) -> World {
+/// So many troubles at overlapping times, three times a day.
+fn meetings(seed: u64, troubles: u64) -> World {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut faults = Vec::new();
     for n in 0..3 {
         let at = 8_000 + n * 40_000 + rng.random_range(0..8_000);
         let (span, gap) = (rng.random_range(1_000..60_000), rng.random_range(0..20_000));
         faults.push((at, trouble(&mut rng, span)));
-        let second = rng.random_range(1_000..30_000);
-        faults.push((at + gap, trouble(&mut rng, second)));
+        for k in 1..troubles {
+            let further = rng.random_range(1_000..30_000);
+            faults.push((at + gap / k, trouble(&mut rng, further)));
+        }
     }
     faults.sort_by_key(|(at, _)| *at);
     // The longest reaches 60 s beyond its beginning, hanging machines and copies of reports twice that.
@@ -65,7 +69,14 @@
 #[test]
 fn drawn_pairs_of_troubles_keep_the_rules() {
     for seed in 0..12 + more_days() {
-        pairs(seed);
+        meetings(seed, 2);
+    }
+}
+
+#[test]
+fn drawn_threes_of_troubles_keep_the_rules() {
+    for seed in 2_000_000..2_000_008 + more_days() {
+        meetings(seed, 3);
     }
 }
 
--- a/tests/world/machines.rs
+++ b/tests/world/machines.rs
@@ -4,7 +4,7 @@
 use super::*;
 use oatloom_core::reign::{Reign, Stage};
 use oatloom_protocol::ids::{TaskId, Token};
-use oatloom_protocol::wire::TaskPhase;
+use oatloom_protocol::wire::{Order, TaskPhase};
 use rand::seq::SliceRandom;
 
 /// When copies that were kept for the next leader are given to every controller.
@@ -39,6 +39,11 @@
     pub older_attempt: usize,
     /// Reports of machines that could not be sent.
     pub refused: usize,
+    /// Direct commands that came late: to a worker that has heard a later leader, and to one that has not although there is
+    /// one; the stops of the latter for tasks that are on the machine.
+    pub outranked: usize,
+    pub deposed: usize,
+    pub stopped: usize,
 }
 
 #[derive(Default)]
@@ -115,6 +120,29 @@
         }
     }
 
+    /// A direct command that nobody waits for any more comes to a machine.
+    pub(super) fn note_late_command(&mut self, host: &str, command: &Command) {
+        let leader = self.leads().and_then(|n| self.reign_of(n)).map(|reign| reign.token);
+        let Some(worker) = self.region.workers.get(host) else { return };
+        let met = &mut self.machines.met;
+        if worker.token > command.token.0 {
+            met.outranked += 1;
+        } else if worker.shift == command.shift.0 && leader.is_some_and(|now| now > command.token) {
+            met.deposed += 1;
+            let there = |order: &&Order| match order {
+                Order::Stop { task, attempt, .. } => {
+                    worker.tasks.iter().any(|((job, index, own), t)| {
+                        t.phase != TaskPhase::Exited
+                            && *own == attempt.0
+                            && task.rsplit_once('/') == Some((job, index.to_string().as_str()))
+                    })
+                }
+                _ => false,
+            };
+            met.stopped += command.orders.iter().filter(there).count();
+        }
+    }
+
     /// Gives kept copies to every controller when a new leader begins, or has acted: as they are, twice to those that do not
     /// lead, so that they pass them on, and once as if another controller had.
     pub(super) fn give_reports(&mut self) {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -200,6 +200,9 @@
     AnswersLost(u64, u32),
     /// Of this share of a thousand reports a copy comes again, 2 s to more than twice a lease later.
     LateReports(u64, u32),
+    /// This share of a thousand direct commands is held up, unanswered, and carried out 2 to 16 s later, if the worker still
+    /// takes it.
+    LateCommands(u64, u32),
     /// Every so many-th machine that is up: its reports arrive, answers and direct commands to it are lost.
     MachinesDeaf(u64, u32),
     /// A node loses the state service and the other nodes, not its workers or users.
@@ -300,6 +303,8 @@
     /// Until when this share of a thousand transactions is carried out late, or of reports copied.
     late_writes: (u64, u32),
     late_reports: (u64, u32),
+    /// Until when this share of a thousand direct commands is held up.
+    late_commands: (u64, u32),
     /// Until when the answers of this share of a thousand transactions are lost.
     answers_lost: (u64, u32),
     /// How long a step is, in milliseconds: a divisor of [`STEP_MS`].
@@ -478,6 +483,7 @@
             store_slow: (0, 1),
             late_writes: (0, 0),
             late_reports: (0, 0),
+            late_commands: (0, 0),
             answers_lost: (0, 0),
             step_ms: STEP_MS,
             looks: Looks::default(),
@@ -740,7 +746,11 @@
                 Action::Store { id, lane, op } => self.ask_store(node, life, id, lane, op),
                 Action::Cloud { id, op } => self.ask_cloud(node, life, id, op),
                 Action::Command { addr, command } => {
-                    let (delay, answer) = self.fate(node);
+                    let (mut delay, mut answer) = self.fate(node);
+                    let (until, share) = self.late_commands;
+                    if self.now < until && self.rng.random_bool(f64::from(share) / 1e3) {
+                        (delay, answer) = (Some(self.rng.random_range(2_000..16_000)), false);
+                    }
                     if !answer {
                         let event = Event::Obeyed { report: None };
                         self.send(800, Message::Node { node, life, event });
@@ -930,6 +940,9 @@
             let late = Message::Command { node, life, addr, command, answer: false };
             return self.send(delay, late);
         }
+        if !answer {
+            self.note_late_command(&addr, &command);
+        }
         let report = self.region.commanded(now, &addr, &command).map(|(_, report)| report);
         if answer {
             let delay = self.delay();
@@ -1083,6 +1096,7 @@
             Fault::LateWrites(span, share) => self.late_writes = (now + span, share),
             Fault::AnswersLost(span, share) => self.answers_lost = (now + span, share),
             Fault::LateReports(span, share) => self.late_reports = (now + span, share),
+            Fault::LateCommands(span, share) => self.late_commands = (now + span, share),
             Fault::StoreSlow(span, times) => self.store_slow = (now + span, times),
             Fault::MachinesDeaf(span, every) => {
                 let up = self.region.workers.iter().filter(|(_, w)| now >= w.up_at);
