Gangs: an attempt that a machine has refused is not given to it again

Found by reading for the meeting of old words with newer starts: a gang that gathers kept its attempt when a worker refused one of its tasks (no room, busy, unknown), and gave the same attempt to the same machine once its pause was over. Names and attempts are never to be used twice: answers to direct commands are not ordered among the reports, so one that shows the refusal would end in the book what has started since. Now the gang begins anew under a new attempt.

--- a/crates/core/src/reign/reports.rs
+++ b/crates/core/src/reign/reports.rs
@@ -5,6 +5,10 @@
 use super::*;
 use oatloom_ledger::entry::End;
 
+/// Why a gang that gathers begins anew. Guards against one attempt that a machine is given twice: direct answers are not ordered
+/// among the reports, and one that shows the refusal would end what has started since.
+const REFUSED: &str = "a task was refused";
+
 impl Reign {
     /// Stops to be sent to a machine directly, with its address. They are harmless however late
     /// they arrive, and go with the answers to its reports as well. Start commands never go here.
@@ -427,6 +431,7 @@
                 if let Some(machine) = self.fleet.machines.get_mut(host) {
                     machine.paused_until = now.plus(NO_ROOM_PAUSE_MS);
                 }
+                gang_over = Some(REFUSED);
             }
             Cause::Busy | Cause::Unknown => {
                 log::warn!("machine {host}: refused {task}, {cause:?}");
@@ -434,6 +439,7 @@
                 if let Some(job) = self.book.jobs.get_mut(id) {
                     job.paused_until = now.plus(ERROR_PAUSE_MS);
                 }
+                gang_over = Some(REFUSED);
             }
         }
         if let Some(why) = gang_over {
--- a/tests/machines.rs
+++ b/tests/machines.rs
@@ -9,7 +9,7 @@
 use oatloom_core::store::StoreOp;
 use oatloom_protocol::ids::{Attempt, HostId, JobId, Shift, Tally, TaskId, Token, Zone};
 use oatloom_protocol::wire::{
-    Cause, Change, JobSpec, JobStatus, Report, Shape, TaskPhase, TaskReport,
+    Cause, Change, JobSpec, JobStatus, Order, Report, ReportAnswer, Shape, TaskPhase, TaskReport,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -380,8 +380,12 @@
 /// A row of a report.
 fn row(attempt: u64, status: TaskPhase) -> TaskReport {
     let cause = (status == TaskPhase::Exited).then_some(Cause::Stopped);
-    let (task, attempt) = ("req-1/0".into(), Attempt(attempt));
-    TaskReport { task, attempt, status, cause, stored: false, ran_ms: None }
+    row_of("req-1/0", Attempt(attempt), status, cause)
+}
+
+/// The same of any task.
+fn row_of(task: &str, attempt: Attempt, status: TaskPhase, cause: Option<Cause>) -> TaskReport {
+    TaskReport { task: task.into(), attempt, status, cause, stored: false, ran_ms: None }
 }
 
 /// While a new leader reads its book, an old report of a machine whose newer one waits is turned away. Guards against one that
@@ -554,3 +558,76 @@
     eprintln!("{sum:?}");
     assert!(sum.outranked > 20 && sum.deposed > 10 && sum.stopped > 4, "{sum:?}");
 }
+
+/// A worker refuses a task of a gang that gathers. Guards against the same attempt that is given to the same machine once
+/// more: names are never used twice, since a direct answer, which is not ordered among the reports, may still show the
+/// refusal once the task is there, and would end it in the book.
+#[test]
+fn what_a_machine_refused_is_not_given_to_it_again_under_the_same_attempt() {
+    for cause in [Cause::NoRoom, Cause::Busy, Cause::Unknown] {
+        let mut solo = Solo::new();
+        let spec = JobSpec { shape: Shape::Gang, gpus: 4.0, ..small_array("req-1", 9) };
+        let held = |index: u32| {
+            let host = HostId::new(&format!("i-{}", index + 1));
+            (index, Attempt(5), host, Shift(1), Zone::new("a"))
+        };
+        let record = ChunkRecord {
+            done: String::new(),
+            held: (0..2).map(held).collect(),
+            size: ("blue".into(), 1.0, 4.0, 1.0, 2),
+            charges: Default::default(),
+            usage: Default::default(),
+        };
+        solo.write(vec![
+            Change::put(
+                "live/req-1".into(),
+                json!(LiveRecord { spec, wall_ms: 1_000_000, part: None }),
+            ),
+            Change::put("asg/req-1/0000".into(), json!(record)),
+        ]);
+        solo.pass(500);
+        let token = solo.core.valid(solo.clock().mono).expect("it leads").0;
+        // What each machine has: its tasks, as it would report them.
+        let mut there: [Vec<TaskReport>; 2] = [
+            vec![row_of("req-1/0", Attempt(5), TaskPhase::Exited, Some(cause))],
+            vec![row_of("req-1/1", Attempt(5), TaskPhase::Waiting, None)],
+        ];
+        let mut begun = Vec::new();
+        for tally in 1..40 {
+            for (at, host) in ["i-1", "i-2"].into_iter().enumerate() {
+                let mut told = report(host, "a", 1, tally, if tally > 1 { token } else { 0 });
+                told.tasks = there[at].clone();
+                let conn = solo.ask(Request::Report(Box::new(told)));
+                solo.pass(1_000);
+                let answer = solo.reply(conn).map(|r| r.body.clone()).unwrap_or_default();
+                let Ok(answer) = serde_json::from_str::<ReportAnswer>(&answer) else { continue };
+                for order in answer.orders {
+                    match order {
+                        Order::Run { task, attempt } => {
+                            let known = |r: &TaskReport| r.task == task && r.attempt == attempt;
+                            begun.push((host, task.clone(), attempt));
+                            if !there[at].iter().any(known) {
+                                there[at].push(row_of(&task, attempt, TaskPhase::Waiting, None));
+                            }
+                        }
+                        Order::Stop { task, attempt, .. } => {
+                            let told = |r: &&mut TaskReport| r.task == task && r.attempt == attempt;
+                            for stopped in there[at].iter_mut().filter(told) {
+                                if stopped.status != TaskPhase::Exited {
+                                    stopped.status = TaskPhase::Exited;
+                                    stopped.cause = Some(Cause::Stopped);
+                                }
+                            }
+                        }
+                        Order::Forget { task, attempt } => {
+                            there[at].retain(|r| r.task != task || r.attempt != attempt);
+                        }
+                    }
+                }
+            }
+        }
+        let again = begun.iter().any(|(_, _, attempt)| *attempt == Attempt(5));
+        assert!(!again, "{cause:?}: {begun:?}");
+        assert!(begun.len() >= 2, "{cause:?}: it is started anew: {begun:?}");
+    }
+}
