--- a/tests/machines.rs
+++ b/tests/machines.rs
@@ -5,6 +5,7 @@
 mod world;
 
 use oatloom_core::api::{Request, Submission};
+use oatloom_core::controller::Event;
 use oatloom_core::jobs::{ChunkRecord, LiveRecord, RunSent};
 use oatloom_core::store::StoreOp;
 use oatloom_protocol::ids::{Attempt, HostId, JobId, Shift, Tally, TaskId, Token, Zone};
@@ -408,6 +409,84 @@
     assert_eq!(solo.reply(newer).map(|r| r.status), Some(200));
 }
 
+/// A leader by whose records a task is on a machine, in its second session and with its ninth attempt, and its token.
+fn with_a_held_task() -> (Solo, u64) {
+    let mut solo = Solo::new();
+    let record = ChunkRecord {
+        done: String::new(),
+        held: vec![(0, Attempt(9), HostId::new("i-1"), Shift(2), Zone::new("a"))],
+        size: ("blue".into(), 1.0, 1.0, 1.0, 2),
+        charges: Default::default(),
+        usage: Default::default(),
+    };
+    let spec = small_array("req-1", 300);
+    let live = LiveRecord { spec, wall_ms: 1_000_000, part: None };
+    solo.write(vec![
+        Change::put("live/req-1".into(), json!(live)),
+        Change::put("asg/req-1/0000".into(), json!(record)),
+    ]);
+    solo.pass(500);
+    let token = solo.core.valid(solo.clock().mono).expect("it leads").0;
+    (solo, token)
+}
+
+/// The attempt that the leader's book holds of that task, and whether it was sent.
+fn held(solo: &Solo) -> Option<(u64, RunSent)> {
+    let task = TaskId::new(&JobId::new("req-1"), 0);
+    let hold = solo.core.reign().and_then(|reign| reign.book.held(&task));
+    hold.map(|hold| (hold.attempt.0, hold.run))
+}
+
+/// Answers to direct commands are not ordered among the reports. Guards against one that ends more than what it shows as
+/// ended, of this session, by this attempt, and under this leader's token.
+#[test]
+fn a_direct_answer_ends_only_what_it_shows_as_ended() {
+    let exited = |attempt| vec![row(attempt, TaskPhase::Exited)];
+    let cases: [(u64, bool, Vec<TaskReport>, bool); 6] = [
+        (1, true, exited(9), false),
+        (3, true, exited(9), false),
+        (2, false, exited(9), false),
+        (2, true, exited(8), false),
+        (2, true, Vec::new(), false),
+        (2, true, exited(9), true),
+    ];
+    for (shift, knows, tasks, ends) in cases {
+        let what = format!("shift {shift}, knows its token: {knows}, {tasks:?}");
+        let (mut solo, token) = with_a_held_task();
+        let told = row(9, TaskPhase::Running);
+        let there = Report { tasks: vec![told], ..report("i-1", "a", 2, 20, token) };
+        solo.ask(Request::Report(Box::new(there)));
+        solo.pass(100);
+        let answer =
+            Report { tasks, ..report("i-1", "a", shift, 21, if knows { token } else { 0 }) };
+        solo.event(Event::Obeyed { report: Some(Box::new(answer)) });
+        assert_eq!(held(&solo).is_none_or(|h| h.0 != 9), ends, "{what}");
+    }
+}
+
+/// The leader of before ended between the record of a job's last task and the job's own end. Guards against a job that stays
+/// open for ever with nothing left to do.
+#[test]
+fn a_new_leader_ends_what_was_complete() {
+    let mut solo = Solo::new();
+    let record = ChunkRecord {
+        done: "3".into(),
+        held: Vec::new(),
+        size: ("blue".into(), 1.0, 1.0, 1.0, 2),
+        charges: Default::default(),
+        usage: Default::default(),
+    };
+    let live = LiveRecord { spec: small_array("req-1", 300), wall_ms: 1_000_000, part: None };
+    solo.write(vec![
+        Change::put("live/req-1".into(), json!(live)),
+        Change::put("asg/req-1/0000".into(), json!(record)),
+    ]);
+    solo.pass(2_000);
+    let over = solo.state.rows("over/req-1");
+    assert!(!over.is_empty() && solo.state.rows("live/").is_empty(), "{over:?}");
+    assert!(solo.state.rows("asg/").is_empty(), "its records go with it");
+}
+
 /// By the records a task is on a machine, in its second session and with its ninth attempt. Whatever an old report says, of
 /// an earlier session, with an earlier attempt or token, the task stays where it is; a newer one with this leader's token
 /// that does not list it ends it.
@@ -423,22 +502,7 @@
     ];
     for (shift, tally, knows, tasks) in cases {
         let what = format!("shift {shift}, tally {tally}, knows its token: {knows}, {tasks:?}");
-        let mut solo = Solo::new();
-        let record = ChunkRecord {
-            done: String::new(),
-            held: vec![(0, Attempt(9), HostId::new("i-1"), Shift(2), Zone::new("a"))],
-            size: ("blue".into(), 1.0, 1.0, 1.0, 2),
-            charges: Default::default(),
-            usage: Default::default(),
-        };
-        let spec = small_array("req-1", 300);
-        let live = LiveRecord { spec, wall_ms: 1_000_000, part: None };
-        solo.write(vec![
-            Change::put("live/req-1".into(), json!(live)),
-            Change::put("asg/req-1/0000".into(), json!(record)),
-        ]);
-        solo.pass(500);
-        let token = solo.core.valid(solo.clock().mono).expect("it leads").0;
+        let (mut solo, token) = with_a_held_task();
         let listed = !tasks.is_empty() && tasks[0].attempt.0 == 8;
         let old =
             Report { tasks, ..report("i-1", "a", shift, tally, if knows { token } else { 0 }) };
@@ -448,11 +512,6 @@
             old.tasks.push(row(9, TaskPhase::Running));
         }
         solo.ask(Request::Report(Box::new(old)));
-        let held = |solo: &Solo| {
-            let task = TaskId::new(&JobId::new("req-1"), 0);
-            let hold = solo.core.reign().and_then(|reign| reign.book.held(&task));
-            hold.map(|hold| (hold.attempt.0, hold.run))
-        };
         assert_eq!(held(&solo), Some((9, RunSent::Inherited)), "{what}");
         // Cancelled at once, as the rule has it that hurts most: what was not sent counts as gone.
         solo.ask(Request::Abort(JobId::new("req-1")));
