Tests: loops that wait for a moment end once a rule is broken

Where a rule breaks the simulated world's time stands still, and five loops of tests waited for a moment that never came: such a test hung instead of failing (seen with a planted fault, an exit taken up without its attempt, for 15 minutes). World::before is the one condition now.

--- a/tests/headroom.rs
+++ b/tests/headroom.rs
@@ -44,7 +44,7 @@
             world.add_job_at(spec, 1_000);
         }
         let (mut most, mut rented, mut used, mut samples) = (0, 0.0, 0.0, 0.0);
-        while world.now < 300_000 {
+        while world.before(300_000) {
             let next = world.now + 5_000;
             world.play_to(next);
             most = most.max(world.region.workers.len());
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -617,7 +617,7 @@
             ends.insert(15_000 + n * 20_000 + rng.random_range(0..10_000));
         }
         let mut strikes = ends.into_iter().peekable();
-        while world.now < 100_000 {
+        while world.before(100_000) {
             world.play_to(world.now + 500);
             for (n, worker) in world.region.workers.values_mut().enumerate() {
                 worker.slowness = if n % 2 == 0 { 1.0 } else { 5.0 };
--- a/tests/looks.rs
+++ b/tests/looks.rs
@@ -330,7 +330,7 @@
             _ => Fault::CrashAll,
         });
         let mut after = before;
-        while world.now < at + 9_000 && world.region.checker.broken.is_empty() {
+        while world.before(at + 9_000) {
             world.play_finely_to(world.now + 500);
             after = world.leads().filter(|_| after == before).or(after);
         }
@@ -359,7 +359,7 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut placed = BTreeSet::new();
         world.step_ms = FINE_STEP_MS;
-        while world.now < 45_000 && world.region.checker.broken.is_empty() {
+        while world.before(45_000) {
             world.step();
             for row in world.stored("asg/") {
                 let id = row.key.split('/').nth(1).unwrap_or_default().to_owned();
--- a/tests/machines.rs
+++ b/tests/machines.rs
@@ -194,7 +194,7 @@
         let before = on_machines(&world);
         assert!(before >= 10 && muted > 2, "{what}: {before} tasks run on {muted} machines");
         let patience = if kind == 0 { 9_000 } else { 15_000 };
-        while world.now < 84_000 + phase {
+        while world.before(84_000 + phase) {
             world.watch_to(world.now + 500);
             check(&world, &what);
             assert_eq!(world.lingering(patience), [""; 0], "{what}, at {}", world.now);
@@ -244,7 +244,7 @@
             }
             world.watch_to(born);
             // The moment at which work is on its way to a machine that has just come up, and some moments later.
-            while world.now < born + 9_000 && world.hasty_assignments(2_000) == 0 {
+            while world.before(born + 9_000) && world.hasty_assignments(2_000) == 0 {
                 world.watch_to(world.now + 50);
             }
             let at = world.now;
@@ -365,7 +365,7 @@
         world.strike(Fault::NodeParted(old, span));
         world.strike(Fault::PollStorm(span + 10_000, 6));
         let until = world.now + span + 10_000;
-        while world.now < until {
+        while world.before(until) {
             world.door = (world.now / 1_000).is_multiple_of(2).then_some(old);
             world.watch_to(world.now + 1_000);
             check(&world, &format!("seed {seed}, {span} ms"));
--- a/tests/ops.rs
+++ b/tests/ops.rs
@@ -143,7 +143,7 @@
         let ended = if all { Fault::CrashAll } else { Fault::Crash(leads.expect("a leader")) };
         world.strike(ended);
         while world.leads().is_none() {
-            assert!(world.now < at + 20_000, "seed {seed}: nobody leads");
+            assert!(world.before(at + 20_000), "seed {seed}: nobody leads, or a rule is broken");
             world.play_to(world.now + 1);
         }
         pauses.push(world.now - at);
--- a/tests/served.rs
+++ b/tests/served.rs
@@ -191,7 +191,7 @@
 /// Plays a day to its end, with a look each second; the rules have held.
 fn watched(what: &str, world: &mut World, mut look: impl FnMut(&World)) -> Watch {
     let mut watch = Watch::default();
-    while world.now < world.calm_from && world.region.checker.broken.is_empty() {
+    while world.before(world.calm_from) {
         world.play_to((world.now / 1_000 + 1) * 1_000);
         watch.look(world);
         look(world);
--- a/tests/world/machines.rs
+++ b/tests/world/machines.rs
@@ -264,7 +264,7 @@
 
     /// Lets time pass up to a moment, or to a broken rule; the book is looked at after every step.
     pub fn watch_to(&mut self, until: u64) {
-        while self.now < until && self.region.checker.broken.is_empty() {
+        while self.before(until) {
             self.step();
             self.look_at_book();
         }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -1367,9 +1367,15 @@
         (self.now < until && self.nodes[*node].core.is_some()).then_some(until)
     }
 
+    /// Whether a moment is still to come: once a rule is broken time stands still. Guards against loops of tests that wait
+    /// for it for ever instead of failing.
+    pub fn before(&self, until: u64) -> bool {
+        self.now < until && self.region.checker.broken.is_empty()
+    }
+
     /// Plays the day to its end and through a calm in which everything must be finished.
     pub fn play(&mut self) {
-        while self.now < self.calm_from + 190_000 && self.region.checker.broken.is_empty() {
+        while self.before(self.calm_from + 190_000) {
             self.step();
         }
     }
@@ -1412,7 +1418,7 @@
 
     /// Lets time pass up to a moment, or to a broken rule.
     pub fn play_to(&mut self, until: u64) {
-        while self.now < until && self.region.checker.broken.is_empty() {
+        while self.before(until) {
             self.step();
         }
     }
--- a/tests/zones.rs
+++ b/tests/zones.rs
@@ -51,14 +51,11 @@
     world.leaky = false;
     let mut known: BTreeSet<String> = BTreeSet::new();
     let (mut there, mut elsewhere) = (0, 0);
-    while world.now < LOST_AT + LOST_FOR {
+    while world.before(LOST_AT + LOST_FOR) {
         if world.now > LOST_AT - 30_000 && world.now.is_multiple_of(8_000) {
             world.add_job(array(world.now / 1_000));
         }
         world.play_to(world.now + STEP_MS);
-        if !world.region.checker.broken.is_empty() {
-            break;
-        }
         let counts = world.now > LOST_AT + FOUND_AFTER;
         for (name, worker) in &world.region.workers {
             if known.insert(name.clone()) && counts {
