--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -2,7 +2,7 @@
 //! machine and not in time, and whether its starts hold what they promise at that size.
 
 use oatloom_core::cloud::Kind;
-use oatloom_core::jobs::{Book, Hold, Job, LiveRecord, RunSent};
+use oatloom_core::jobs::{Book, Hold, Job, LiveRecord, RunSent, Usage};
 use oatloom_core::placement::{self, Inputs, Plan};
 use oatloom_core::workers::{Fleet, Image, Life, Room};
 use oatloom_protocol::ids::{Attempt, HostId, JobId, Millis, Mono, Now, Revision, Shift, Zone};
@@ -181,6 +181,29 @@
 }
 
 /// Hundreds of machines wished for at once cost no more looks than machines already there.
+/// Guards against a pass that looks at the whole fleet for each job that its team's limit lets not start: that is what waits
+/// at a limit, for minutes.
+#[test]
+fn a_pass_with_1000_jobs_at_their_limit_costs_no_more_than_one_with_as_many_that_may_run() {
+    let fleet = fleet(400);
+    let free = settings();
+    let mut bound = settings();
+    bound.facts.teams[0].gpus_max = 500.0;
+    let cost = |settings: &Settings, used: f64| {
+        let mut book = book(1_000, &mut ChaCha8Rng::seed_from_u64(3));
+        book.usage.insert("red".into(), Usage { cpus: 0.0, gpus: used });
+        let from = std::time::Instant::now();
+        let plan = pass(settings, &mut book, &fleet, true);
+        (plan.steps, plan.starts.len(), from.elapsed())
+    };
+    let (may, at_limit, near) = (cost(&free, 0.0), cost(&bound, 500.0), cost(&bound, 497.0));
+    println!(
+        "looks, starts, time: {may:?} that may run, {at_limit:?} at the limit, {near:?} near it"
+    );
+    assert!(may.1 > 100 && at_limit.1 == 0 && (1..=3).contains(&near.1));
+    assert!(at_limit.0 <= may.0 && near.0 <= may.0, "{may:?}, {at_limit:?}, {near:?}");
+}
+
 #[test]
 fn wishes_for_hundreds_of_machines_are_cheap() {
     let mut rng = ChaCha8Rng::seed_from_u64(9);
