--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -113,7 +113,11 @@
 pub fn needs_zone(spec: &JobSpec, flavors: &[Flavor], zone: &Zone) -> bool {
     match &spec.zone {
         Some(only) => only == zone,
-        None => fitting(spec, flavors).all(|f| f.zones.iter().all(|z| z == zone)),
+        // What fits nowhere needs no zone.
+        None => {
+            fits_some(spec, flavors)
+                && fitting(spec, flavors).all(|f| f.zones.iter().all(|z| z == zone))
+        }
     }
 }
 
--- a/tests/zones.rs
+++ b/tests/zones.rs
@@ -4,8 +4,9 @@
 #[allow(dead_code)]
 mod world;
 
-use oatloom_protocol::ids::JobId;
-use oatloom_protocol::wire::{JobSpec, Rank, Shape};
+use oatloom_core::placement::needs_zone;
+use oatloom_protocol::ids::{JobId, Zone};
+use oatloom_protocol::wire::{Flavor, JobSpec, Rank, Shape};
 use std::collections::BTreeSet;
 use world::{Fault, STEP_MS, World, more_days, show_log};
 
@@ -40,6 +41,35 @@
     }
 }
 
+/// What may run in one zone alone needs it, by its own wish or by its machine types. Guards against a lost zone that is asked
+/// for work which runs elsewhere too, or fits nowhere.
+#[test]
+fn work_needs_a_zone_if_it_may_run_nowhere_else() {
+    let flavor = |label: &str, gpus: f64, zones: &[&str]| Flavor {
+        label: label.into(),
+        cpus: 8.0 * gpus,
+        gpus,
+        memory_gb: 64.0 * gpus,
+        cache_gb: 40.0,
+        fetch_gb_per_s: 1.0,
+        price: gpus,
+        spot_price: gpus / 2.0,
+        boot_s: 5.0,
+        zones: zones.iter().map(|zone| Zone::new(zone)).collect(),
+    };
+    let flavors = [flavor("g1", 1.0, &["a", "b"]), flavor("g4", 4.0, &["a"])];
+    let needs = |change: &dyn Fn(&mut JobSpec)| {
+        let mut spec = array(1);
+        change(&mut spec);
+        ["a", "b"].map(|zone| needs_zone(&spec, &flavors, &Zone::new(zone)))
+    };
+    assert_eq!(needs(&|_| {}), [false, false], "both zones have a machine type that fits");
+    assert_eq!(needs(&|spec| spec.zone = Some(Zone::new("b"))), [false, true]);
+    assert_eq!(needs(&|spec| spec.gpus = 4.0), [true, false], "it fits one type alone");
+    assert_eq!(needs(&|spec| spec.flavors = Some(vec!["g4".into()])), [true, false]);
+    assert_eq!(needs(&|spec| spec.gpus = 5.0), [false, false], "it fits nowhere");
+}
+
 /// Machines that were rented in zone `a` while it was known to be lost, and in the other zones in the same time.
 fn hired_while_lost(seed: u64, more: impl IntoIterator<Item = (u64, Fault)>) -> (usize, usize) {
     show_log();
