Health: a controller is refused alone only if others were served long after it

Cause: silent for 6 s was held against a peer served within the last 6 s, though the peer had only asked later before the same outage; and two failed questions 47 s apart counted as 47 s without the leader. Now the peer must have been served 6 s after this one, an answer as leader counts from the lease it shows (4 s before), and failures further apart than 15 s begin anew. Health has a module, named states, and a log line with its evidence when it changes; that line showed the second cause.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -208,6 +208,9 @@
 /// After so long without an answer of the leader to any question a controller says that it cannot take requests: well
 /// under the 75 s in which each job has to be answered for, and above what a cut between controllers mostly lasts.
 pub const APART_MS: Millis = Millis(30_000);
+/// Questions that failed further apart than this do not make one time without an answer: above the period of greetings to a
+/// peer that is taken to be gone.
+pub const APART_GAP_MS: Millis = Millis(15_000);
 /// How long that holds after the last one that did not come back: some greetings.
 pub const APART_FRESH_MS: Millis = Millis(10_000);
 /// How often it is looked whom to greet: a quarter of the period of greetings.
--- /dev/null
+++ b/crates/core/src/controller/health.rs
@@ -0,0 +1,112 @@
+//! Whether this controller can take requests, as it answers at `/up` and tells its peers.
+
+use super::Controller;
+use crate::constants::{APART_FRESH_MS, APART_MS, LEADER_TTL_MS, UP_STORE_SILENCE_MS, UP_TOLD_MS};
+use oatloom_protocol::ids::{Millis, Mono};
+use oatloom_protocol::reply::HttpReply;
+
+/// Whether requests can be taken, and if not, why.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum Health {
+    /// The machine types are not known, or the state service was not reached yet.
+    #[default]
+    Starting,
+    Up,
+    /// The state service serves others, and has not served this controller for a while.
+    RefusedAlone,
+    /// Neither the state service nor any other controller is heard of.
+    CutOff,
+    /// The state service serves, and the leader does not answer.
+    LeaderApart,
+}
+
+impl Health {
+    fn why(self) -> &'static str {
+        match self {
+            Self::Up => "up",
+            Self::Starting => "starting",
+            Self::RefusedAlone | Self::CutOff => "the state service refuses this node",
+            Self::LeaderApart => "the leader cannot be reached from here",
+        }
+    }
+}
+
+impl Controller {
+    /// The answer to a probe.
+    pub(super) fn up(&mut self, now: Mono) -> HttpReply {
+        let health = self.health(now);
+        self.note_health(health, now);
+        match health {
+            Health::Up => {
+                let store = self.store_silence(now) <= UP_STORE_SILENCE_MS;
+                HttpReply::json(200, &serde_json::json!({ "up": true, "store": store }))
+            }
+            other => HttpReply::later(other.why()),
+        }
+    }
+
+    /// Says what has changed, and by which evidence.
+    fn note_health(&mut self, health: Health, now: Mono) {
+        if health == self.health {
+            return;
+        }
+        log::info!(
+            "health: {:?} -> {health:?} (state service {} ms ago, a peer's {:?} ms, a leader's answer {} ms, none since {:?} ms)",
+            self.health,
+            self.store_silence(now).0,
+            self.peer_served_at(now).map(|at| now.since(at).0),
+            now.since(self.last_told).0,
+            self.unanswered.map(|(since, _)| now.since(since).0),
+        );
+        self.health = health;
+    }
+
+    /// Whether this controller can take requests.
+    pub(super) fn health(&self, now: Mono) -> Health {
+        if self.catalog().is_none() || self.store.last_good() == Mono(0) {
+            return Health::Starting;
+        }
+        if self.store_silence(now) > UP_STORE_SILENCE_MS {
+            if self.refused_alone(now) {
+                return Health::RefusedAlone;
+            }
+            // Guards against users who stay with a controller that has lost the state service and all others, since their
+            // connections are open, and get no answer about their jobs for as long as it lasts.
+            if self.membership.as_ref().is_some_and(|members| members.all_silent()) {
+                return Health::CutOff;
+            }
+        }
+        if self.leader_apart(now) { Health::LeaderApart } else { Health::Up }
+    }
+
+    /// How long the state service has not answered properly.
+    fn store_silence(&self, now: Mono) -> Millis {
+        now.since(self.store.last_good())
+    }
+
+    /// When the state service served another controller last, by that one's own words.
+    fn peer_served_at(&self, now: Mono) -> Option<Mono> {
+        self.membership.as_ref().and_then(|members| members.store_served_at(now))
+    }
+
+    /// Whether the state service serves another controller lately that it has not served for long: by that one's own words,
+    /// or by an answer that it gave as leader, for which it had renewed its lease. In an outage all are refused, and none is
+    /// better than another. Guards against a controller that takes the beginning of an outage for a refusal of its own,
+    /// since it had asked last some seconds before the others.
+    fn refused_alone(&self, now: Mono) -> bool {
+        let said = self.peer_served_at(now).filter(|at| now.since(*at) <= UP_STORE_SILENCE_MS);
+        let told = now.since(self.last_told) < UP_TOLD_MS;
+        let renewed = told.then(|| Mono(self.last_told.0.saturating_sub(LEADER_TTL_MS.0)));
+        let last_good = self.store.last_good();
+        said.max(renewed).is_some_and(|served| served.since(last_good) > UP_STORE_SILENCE_MS)
+    }
+
+    /// Whether the leader, who alone may speak of open jobs, has answered nothing for long. Guards against users who stay
+    /// with a controller that the state service serves and that cannot reach the leader.
+    fn leader_apart(&self, now: Mono) -> bool {
+        let lasts = |(since, last): (Mono, Mono)| {
+            last.since(since) >= APART_MS && now.since(last) < APART_FRESH_MS
+        };
+        self.leadership.other_leader().is_some() && self.unanswered.is_some_and(lasts)
+    }
+}
--- a/crates/core/src/controller/members.rs
+++ b/crates/core/src/controller/members.rs
@@ -1,5 +1,6 @@
 //! Words between controllers on who of them is there, and what follows from them for the others' slices.
 
+use super::health::Health;
 use super::*;
 use oatloom_membership::{Gossip, Line, Own, Presence};
 
@@ -13,7 +14,7 @@
 
     /// What this controller says to a peer of itself and the others.
     fn gossip(&mut self, now: Now, to: &Member) -> Gossip {
-        let ready = self.up(now.mono).status == 200;
+        let ready = self.health(now.mono) == Health::Up;
         let served = self.store.last_good();
         let leading =
             self.leadership.valid(now.mono).map(|token| (self.settings.member.clone(), token));
@@ -113,12 +114,6 @@
         !matches!(line, Some(Line::Cut { since }) if now.since(since) < CUT_PAUSE_MS)
     }
 
-    /// Whether the state service serves another controller, by its own words.
-    pub(super) fn others_are_served(&self, now: Mono) -> bool {
-        let fresh = UP_STORE_SILENCE_MS.0;
-        self.membership.as_ref().is_some_and(|members| members.store_serves(fresh, now))
-    }
-
     /// The controller through which a leader can be reached that neither a worker nor this controller reaches; the
     /// first other one where nothing is known.
     pub(super) fn way_round(&self, leader: &Member, now: Mono) -> Option<Member> {
--- a/crates/core/src/controller/mod.rs
+++ b/crates/core/src/controller/mod.rs
@@ -3,6 +3,7 @@
 
 mod dependencies;
 mod graphs;
+mod health;
 mod leading;
 mod limits;
 mod members;
@@ -306,6 +307,8 @@
     last_told: Mono,
     /// Since when nothing was brought to the leader and back, and when that last failed.
     unanswered: Option<(Mono, Mono)>,
+    /// What was last said of whether this controller takes requests.
+    health: health::Health,
     membership: Option<Membership>,
     /// What was only said to peers: to whom, and until when an answer is waited for.
     said: BTreeMap<u64, (Member, Mono)>,
@@ -362,6 +365,7 @@
             next_notes: Mono(0),
             last_told: Mono(0),
             unanswered: None,
+            health: health::Health::default(),
             membership: None,
             said: BTreeMap::new(),
             next_greet: Mono(0),
--- a/crates/core/src/controller/users.rs
+++ b/crates/core/src/controller/users.rs
@@ -73,36 +73,11 @@
         (share as usize).max(USER_INFLIGHT_LEAST)
     }
 
-    pub(super) fn up(&self, now: Mono) -> HttpReply {
-        let reached = self.store.last_good() > Mono(0);
-        let mute = now.since(self.store.last_good()) > UP_STORE_SILENCE_MS;
-        // Every node is refused in an outage, and then none is better than another. A leader that
-        // still answers after so long, or a peer that is served, shows that this node alone is refused.
-        let told = now.since(self.last_told) < UP_TOLD_MS;
-        // One that has lost both the state service and all other controllers is cut off, most likely: guards against users
-        // who stay with it, since their connections are open, and get no answer about their jobs for as long as it lasts.
-        let cut_off = self.membership.as_ref().is_some_and(|members| members.all_silent());
-        let alone = mute && (told || cut_off || self.others_are_served(now));
-        // The state service may serve one that cannot reach the leader, who alone may speak of open jobs: guards against
-        // users who stay with it for as long as that lasts.
-        let apart = self.leadership.other_leader().is_some()
-            && self.unanswered.is_some_and(|(since, last)| {
-                last.since(since) >= APART_MS && now.since(last) < APART_FRESH_MS
-            });
-        if self.catalog().is_none() || !reached {
-            HttpReply::later("starting")
-        } else if alone {
-            HttpReply::later("the state service refuses this node")
-        } else if apart {
-            HttpReply::later("the leader cannot be reached from here")
-        } else {
-            HttpReply::json(200, &serde_json::json!({ "up": true, "store": !mute }))
-        }
-    }
-
     /// Whether a question to the leader came back with any answer: one that may not say anything at present was reached.
     pub(super) fn reached(&mut self, came_back: bool, now: Mono) {
-        let since = self.unanswered.map_or(now, |(since, _)| since);
+        // Guards against two failures far apart, with nothing asked between, that count as all the time between them.
+        let lasting = self.unanswered.filter(|(_, last)| now.since(*last) <= APART_GAP_MS);
+        let since = lasting.map_or(now, |(since, _)| since);
         self.unanswered = (!came_back).then_some((since, now));
     }
 
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -178,12 +178,18 @@
         self.peers.get(peer).map_or(Line::Untried, |peer| peer.line)
     }
 
+    /// When the state service served any peer last, by the peers' own fresh words.
+    pub fn store_served_at(&self, now: Mono) -> Option<Mono> {
+        let served_at = |peer: &Peer| {
+            let heard = peer.heard_at().filter(|at| now.since(*at) <= SUSPECT_MS)?;
+            Some(Mono(heard.0.saturating_sub(peer.store_ms?)))
+        };
+        self.peers.values().filter_map(served_at).max()
+    }
+
     /// Whether any peer was served by the state service within the last `fresh_ms`, by its own fresh words.
     pub fn store_serves(&self, fresh_ms: u64, now: Mono) -> bool {
-        self.peers.values().any(|peer| {
-            let fresh = peer.heard_at().filter(|at| now.since(*at) <= SUSPECT_MS);
-            fresh.is_some_and(|at| peer.store_ms.is_some_and(|ms| ms + now.since(at).0 <= fresh_ms))
-        })
+        self.store_served_at(now).is_some_and(|at| now.since(at).0 <= fresh_ms)
     }
 
     /// Whether all others have fallen silent, each of whom was heard before; `false` where there are none.
