Leadership: a read of the leader key without an answer is repeated after a second

Cause: a follower that nobody asks anything reads the leader key every 3 s and nothing else; its reads of 67.7 and 70.7 s got no answer within 2.5 s each, and 6 s without a good answer counts as refused. Now a read is sent again after 1 s beside the first, three within those 6 s, one of four calls being left for a claim. An answer to a read sent before one already taken up, or before this controller's claim, is no news.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -49,6 +49,10 @@
 pub const VALIDITY_MARGIN_MS: Millis = Millis(400);
 /// How often a follower re-reads the leader key, should its watch be stuck.
 pub const LEADER_POLL_MS: Millis = Millis(3_000);
+/// A read of the leader key that has no answer after this long is sent again beside the first: above what answers of the
+/// state service take, so often that one of several is answered before [`UP_STORE_SILENCE_MS`], and so rarely that those
+/// under way ([`RENEW_TIMEOUT_MS`] each) leave one of [`VITAL_INFLIGHT`] calls to a claim.
+pub const READ_AGAIN_MS: Millis = Millis(1_000);
 /// Pause after a failed claim, plus up to as much again at random.
 pub const CLAIM_PAUSE_MS: Millis = Millis(300);
 /// How often an owner of shares looks again at what its plan asks for and what is under way: moves and claims wait for
--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -71,7 +71,10 @@
     next_claim: Mono,
     next_touch: Mono,
     watching: bool,
-    reading: bool,
+    /// When the read was sent that is waited for.
+    reading: Option<Mono>,
+    /// Reads sent before this show nothing new: a later one was answered, or a claim was begun since.
+    read_from: Mono,
     turn: Option<Turn>,
 }
 
@@ -98,7 +101,8 @@
             next_claim: Mono(0),
             next_touch: Mono(0),
             watching: false,
-            reading: false,
+            reading: None,
+            read_from: Mono(0),
             turn: None,
         }
     }
@@ -165,9 +169,10 @@
             Role::Follower => {
                 if self.vacant && now >= self.next_claim {
                     self.enter(Role::Granting, "the seat is free");
+                    self.read_from = now;
                     asks.push(Ask::Grant);
-                } else if now >= self.next_read && !self.reading {
-                    self.reading = true;
+                } else if self.read_due(now) {
+                    self.reading = Some(now);
                     self.next_read = now.plus(LEADER_POLL_MS);
                     asks.push(Ask::Read);
                 }
@@ -186,6 +191,15 @@
         asks
     }
 
+    /// Whether the key is to be read now: regularly, and again soon where no answer comes. Guards against a controller that
+    /// asks nothing else, and takes two lost answers for a state service that refuses it.
+    fn read_due(&self, now: Mono) -> bool {
+        match self.reading {
+            Some(sent) => now.since(sent) >= READ_AGAIN_MS,
+            None => now >= self.next_read,
+        }
+    }
+
     /// Another leader's token was shown by a worker: this one's time is over.
     pub fn outranked(&mut self, token: Token) {
         if self.token().is_some_and(|mine| token > mine) {
@@ -231,7 +245,7 @@
         random: u64,
     ) -> Vec<Ask> {
         match ask {
-            Ask::Read => self.on_read(now, reply),
+            Ask::Read => self.on_read(now, sent, reply),
             Ask::Watch(after) => self.on_watch(now, *after, reply),
             Ask::Grant => self.on_grant(now, sent, reply, random),
             Ask::Claim(_) => self.on_claim(now, reply),
@@ -248,8 +262,17 @@
         vec![Ask::Watch(after)]
     }
 
-    fn on_read(&mut self, now: Mono, reply: &StoreReply) -> Vec<Ask> {
-        self.reading = false;
+    fn on_read(&mut self, now: Mono, sent: Mono, reply: &StoreReply) -> Vec<Ask> {
+        let answered = matches!(reply, StoreReply::Found(_) | StoreReply::Missing(_));
+        if answered || self.reading.is_none_or(|latest| latest <= sent) {
+            self.reading = None;
+        }
+        if sent < self.read_from {
+            return Vec::new();
+        }
+        if answered {
+            self.read_from = sent;
+        }
         match reply {
             StoreReply::Found(row) => self.on_row(now, row),
             StoreReply::Missing(_) => match self.role.clone() {
@@ -406,7 +429,7 @@
             }
             // Unresolved: only the key can tell. The claim's own end bounds the wait.
             StoreReply::Lost => {
-                self.reading = true;
+                self.reading = Some(now);
                 vec![Ask::Read]
             }
             _ => {
