Zones: a leader that begins from nothing hires where it hears nobody one at a time

Where nobody in the zone is heard they now stay until their leases have run out, and as long as others in a lost zone; - hires were asked for before the first list of machines; they now wait for it, 15 s at most; - with fewer than three machines left a zone passed for whole. It is now Unheard, one hire at a time, until a report, where an earlier leader has left machines and told nothing.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -416,6 +416,8 @@
 /// Machines hired by one request (protocol: 50). One request after another, each answered in some 0.2 s, hires 6,000 machines
 /// in 24 s, less than a boot; the cloud's rate mostly allows no more.
 pub const HIRE_MOST: u32 = 50;
+/// How long a new leader's hires wait for its first list of machines: in an outage of the cloud they would fail as well.
+pub const FIRST_LIST_MS: Millis = Millis(15_000);
 /// Machines released by one request (protocol: 100): 6,000 in a quarter of a minute at 4 requests a second.
 pub const RELEASE_MOST: usize = 100;
 /// A machine that is not up after this many times its usual boot time is returned.
--- a/crates/core/src/reign/capacity.rs
+++ b/crates/core/src/reign/capacity.rs
@@ -244,6 +244,9 @@
         }
         self.return_idle(&plan, ops, desk, now);
         self.consolidate(settings, &plan, desk, now);
+        if !self.may_hire(now) {
+            return;
+        }
         let lost = self.cores(|m| self.out_of_reach(m));
         self.hire(plan, rented, bounds.max - lost, desk);
     }
--- a/crates/core/src/reign/machines.rs
+++ b/crates/core/src/reign/machines.rs
@@ -38,6 +38,7 @@
 
     /// Takes up a whole machine list. It may be older than the one before: absence proves nothing.
     pub fn listing(&mut self, rows: &[Listed], lag_s: f64, desk: &mut CloudDesk, now: Mono) {
+        self.listed = true;
         for row in rows {
             if let Some(at) = self.fleet.gone.get(&row.host) {
                 // Listed long after its release: a late rental, or the release was for naught.
@@ -68,6 +69,28 @@
         }
     }
 
+    /// Whether enough is known of the machines that are there to hire others. Guards against hires, as a term begins, beside
+    /// machines that are there already, and in zones of which the list shows that their machines ought to be heard.
+    pub(super) fn may_hire(&self, now: Mono) -> bool {
+        self.listed || now.since(self.since) > FIRST_LIST_MS
+    }
+
+    /// Settles, once the machines are known, of which zones nothing is known: of all, where no earlier leader has told
+    /// anything and has left machines.
+    pub(super) fn begin_zones(&mut self) {
+        let Some(catalog) = &self.fleet.catalog else { return };
+        if self.zones_begun || !self.listed {
+            return;
+        }
+        self.zones_begun = true;
+        let inherited = |m: &Machine| m.was_up() || m.born < self.since;
+        if !self.informed && self.fleet.machines.values().any(inherited) {
+            let zones: BTreeSet<&Zone> =
+                catalog.flavors.iter().flat_map(|flavor| &flavor.zones).collect();
+            self.fleet.zones.begin_unheard(zones);
+        }
+    }
+
     /// Silence, leases that have run out, drains, and machines that never came up.
     pub(super) fn watch_machines(
         &mut self,
@@ -100,12 +123,26 @@
             if m.life == Life::Releasing {
                 continue;
             }
+            let over = now > horizon;
+            // One is left to report the moment its zone is back, the others for as long as it would take to have them
+            // again: a boot, and the fetch of their images.
+            let mut kept_in_lost_zone = |m: &Machine| {
+                let sentinel = self.fleet.zones.keeps_sentinel(&m.zone, now);
+                m.taken_at.is_none()
+                    && self.fleet.zones.lost(&m.zone)
+                    && (sentinel && sentinels.insert(m.zone.clone())
+                        || now <= horizon.plus(Millis::from_secs(m.again_s(catalog))))
+            };
             if m.last_report.is_none() {
                 let flavor = catalog.and_then(|c| c.flavor(&m.flavor));
                 let boot_s = flavor.map_or(30.0, |f| f.boot_s);
                 let patience = Millis::from_secs(boot_s * BOOT_PATIENCE + facts.lease_s);
                 let since_lead = now.since(self.heard_from) > silent_after;
-                if now.since(m.born) > patience && since_lead {
+                // Guards against the return of machines that were up before this leader began, as if they had never come
+                // up: nobody in their zone is heard yet, and their tasks may run on until their leases end.
+                let unheard = seen.get(&m.zone).is_some_and(Seen::nobody_heard);
+                let waits = m.was_up() && unheard && (!over || kept_in_lost_zone(m));
+                if now.since(m.born) > patience && since_lead && !waits {
                     m.enter(Life::Releasing, "never reported");
                     desk.release(&m.id);
                 }
@@ -120,15 +157,7 @@
             // Guards against taking a cut between zones for the loss of all their machines: they
             // are left alone until their leases have run out in any case.
             let cut = seen.get(&m.zone).is_some_and(Seen::cut);
-            let over = now > Fleet::horizon(m, self.since, facts.lease_s);
-            // One is left to report the moment its zone is back, the others for as long as it would take to have them
-            // again: a boot, and the fetch of their images.
-            let kept = silent && m.taken_at.is_none() && self.fleet.zones.lost(&m.zone) && {
-                let sentinel = self.fleet.zones.keeps_sentinel(&m.zone, now);
-                let horizon = Fleet::horizon(m, self.since, facts.lease_s);
-                sentinel && sentinels.insert(m.zone.clone())
-                    || now <= horizon.plus(Millis::from_secs(m.again_s(catalog)))
-            };
+            let kept = silent && kept_in_lost_zone(m);
             if silent && (!cut || over) && !kept {
                 m.enter(Life::Releasing, "silent for too long");
                 desk.release(&m.id);
--- a/crates/core/src/reign/mod.rs
+++ b/crates/core/src/reign/mod.rs
@@ -111,6 +111,12 @@
     /// counts from here at the earliest.
     pub heard_from: Mono,
     pub stage: Stage,
+    /// Whether the cloud's list of machines was read in this term.
+    listed: bool,
+    /// Whether an earlier leader's notes were taken up.
+    informed: bool,
+    /// Whether it was settled which zones nothing is known of.
+    zones_begun: bool,
     /// The revision of the store at which the book was read.
     pub begin: Revision,
     /// Starts that a plan had and that may not be: a fault of this program, for tests.
@@ -158,6 +164,9 @@
             since: now,
             heard_from: now,
             stage: Stage::LoadingLive,
+            listed: false,
+            informed: false,
+            zones_begun: false,
             begin: Revision(0),
             wrong_plans: 0,
             book: Book::new(terms.classes.clone(), terms.account(), terms.graphs.is_some()),
@@ -249,6 +258,7 @@
 
     /// Takes up what an earlier leader noted at `noted`.
     pub fn recall(&mut self, notes: Notes, noted: Mono) {
+        self.informed = true;
         self.fleet.zones.recall(&notes.zones, noted);
         for (host, images) in notes.images {
             let ready = |(name, gb)| Image { name, gb, ready: true };
@@ -414,6 +424,7 @@
         self.place_dirty |= self.book.take_released();
         if now >= self.next_tick && now >= self.next_place.min(self.next_tick.plus(ops.tick())) {
             self.next_tick = now.plus(ops.tick());
+            self.begin_zones();
             self.watch_machines(settings, ops, desk, now);
             self.find_overdue(settings, now);
             self.probe_zones(settings, desk, now);
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -144,6 +144,11 @@
         }
     }
 
+    /// Whether the cloud's list or the records show that it has come up.
+    pub fn was_up(&self) -> bool {
+        self.listed_up.is_some() || !self.held.is_empty()
+    }
+
     /// The job for which it is being kept, if any.
     pub fn kept_for(&self, now: Mono) -> Option<&JobId> {
         self.reserved.as_ref().filter(|(_, until)| now < *until).map(|(job, _)| job)
--- a/crates/zones/src/lib.rs
+++ b/crates/zones/src/lib.rs
@@ -21,6 +21,9 @@
     },
     /// Machines ought to be there, and this controller, which has only just begun to listen, has heard none of them yet.
     Awaited,
+    /// A controller that has begun from nothing beside machines of an earlier one hears others of the fleet, and knows of too
+    /// few machines here for their silence to show anything.
+    Unheard,
     /// None of its machines reports while others of the fleet do.
     Lost {
         since: Mono,
@@ -62,6 +65,11 @@
         self.silent >= EVIDENCE_MACHINES && self.silent * 2 > self.known
     }
 
+    /// Whether nobody was ever heard of those that are there.
+    pub fn nobody_heard(&self) -> bool {
+        self.known == 0
+    }
+
     /// Whether several machines are to be heard of, none has been since this controller began to listen, and it is not
     /// too late yet for all of them.
     fn awaited(&self) -> bool {
@@ -129,6 +137,17 @@
         })
     }
 
+    /// A controller begins to listen that nobody has told anything of these zones, while machines of an earlier one are
+    /// there. Guards against hires in a zone of which everything was returned while it was lost: it looks like any other one.
+    pub fn begin_unheard<'z>(&mut self, zones: impl IntoIterator<Item = &'z Zone>) {
+        for zone in zones {
+            let state = self.state(zone);
+            if state.standing == Standing::Whole {
+                Self::enter(zone, state, Standing::Unheard, "nothing is known of it");
+            }
+        }
+    }
+
     /// Takes up what was seen of all zones at `now`. Of a zone that is not among them nothing is there to report, and
     /// what it waits for ends all the same. A zone is lost only beside others that are not: a controller that hears
     /// nobody knows nothing of any of them.
@@ -169,18 +188,20 @@
                 Standing::Mute { heard: Some(first) } => latest
                     .filter(|at| at.since(first) >= AGAIN_MS)
                     .map(|_| (Standing::Whole, "a machine reports again")),
-                Standing::Awaited if latest.is_some() => {
+                Standing::Awaited | Standing::Unheard if latest.is_some() => {
                     Some((Standing::Whole, "a machine reports"))
                 }
-                Standing::Whole | Standing::Awaited if s.awaited() => (state.standing
-                    != Standing::Awaited)
-                    .then_some((Standing::Awaited, "nothing there was heard yet")),
+                Standing::Whole | Standing::Awaited | Standing::Unheard if s.awaited() => {
+                    (state.standing != Standing::Awaited)
+                        .then_some((Standing::Awaited, "nothing there was heard yet"))
+                }
                 _ if missed > 0 => {
                     Some((Standing::Mute { heard: None }, "its few machines are silent"))
                 }
                 Standing::Whole if s.cut() => Some((Standing::Doubted, "most are silent")),
                 Standing::Doubted if !s.cut() => Some((Standing::Whole, "most report")),
                 Standing::Awaited => Some((Standing::Whole, "nothing more is waited for")),
+                Standing::Unheard => None,
                 Standing::Whole | Standing::Doubted => None,
             };
             if let Some((standing, why)) = next {
@@ -207,7 +228,7 @@
     pub fn hires(&self, zone: &Zone) -> Hires {
         match self.standing(zone) {
             Standing::Whole | Standing::Doubted => Hires::AsNeeded,
-            Standing::Mute { .. } => Hires::OneAtATime,
+            Standing::Mute { .. } | Standing::Unheard => Hires::OneAtATime,
             Standing::Awaited | Standing::Lost { .. } | Standing::Returning { .. } => Hires::None,
         }
     }
--- /dev/null
+++ b/crates/zones/tests/unheard.rs
@@ -0,0 +1,61 @@
+//! Zones of which a controller that has begun from nothing has heard nobody, beside machines of an earlier one.
+
+use oatloom_protocol::ids::{Mono, Zone};
+use oatloom_zones::{Hires, Seen, Standing, Zones};
+use std::collections::BTreeMap;
+
+fn zone(name: &str) -> Zone {
+    Zone::new(name)
+}
+
+fn seen(a: Seen, b: Seen) -> BTreeMap<Zone, Seen> {
+    [(zone("a"), a), (zone("b"), b)].into()
+}
+
+fn reporting(known: u32, at: u64) -> Seen {
+    Seen { known, heard: known, latest: Some(Mono(at)), ..Seen::default() }
+}
+
+fn begun() -> Zones {
+    let mut zones = Zones::default();
+    zones.begin_unheard(&[zone("a"), zone("b")]);
+    zones
+}
+
+/// Nothing is left in the zone, or too little to show anything: one machine at a time until the first report.
+#[test]
+fn one_machine_at_a_time_until_a_report() {
+    for left in [0, 1, 2] {
+        let mut zones = begun();
+        let few = Seen { expected: left, ..Seen::default() };
+        zones.observe(&seen(few, reporting(9, 2_000)), Mono(2_000));
+        assert_eq!(zones.hires(&zone("b")), Hires::AsNeeded, "it reports");
+        assert_eq!(zones.hires(&zone("a")), Hires::OneAtATime, "{left} are left");
+        zones.observe(&seen(reporting(1, 9_000), reporting(9, 9_000)), Mono(9_000));
+        assert_eq!(zones.hires(&zone("a")), Hires::AsNeeded);
+    }
+}
+
+/// Silence beside others' reports shows as much as ever.
+#[test]
+fn the_silence_of_several_machines_is_a_loss() {
+    let mut zones = begun();
+    let three = Seen { expected: 3, ..Seen::default() };
+    zones.observe(&seen(three, reporting(9, 2_000)), Mono(2_000));
+    assert_eq!(zones.standing(&zone("a")), Standing::Awaited);
+    let overdue = Seen { unheard: 3, ..three };
+    zones.observe(&seen(overdue, reporting(9, 19_000)), Mono(20_000));
+    assert!(zones.lost(&zone("a")));
+}
+
+/// What an earlier leader has told goes before it, and a zone that is known already is left as it is.
+#[test]
+fn what_is_known_stays() {
+    let mut zones = Zones::default();
+    let silent = Seen { silent: 9, known: 9, ..Seen::default() };
+    zones.observe(&seen(silent, reporting(9, 900)), Mono(1_000));
+    assert!(zones.lost(&zone("a")));
+    zones.begin_unheard(&[zone("a"), zone("c")]);
+    assert!(zones.lost(&zone("a")));
+    assert_eq!(zones.hires(&zone("c")), Hires::OneAtATime);
+}
