Placement: services that are begun are completed, also by a replica that changes its zone

Causes: room that falls free in pieces went to the latest service, as the only one still in time, though it was too small for it; and services that must be spread got half of their replicas where the last room was, in one zone, and found none elsewhere. Now a service without replicas goes first if it fits whole, else those that were begun do, the one that lacks fewest first. Where nothing can be hired and room is left in zones that are closed to it, a settled replica of a service that is up moves there, one at a time, and leaves its place; parts of further services wait meanwhile.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -388,7 +388,12 @@
 /// none does.
 pub const DOWN_WAIT_S: f64 = 25.0;
 pub const DOWN_WAIT_PART: f64 = 0.5;
-/// What such a search costs per machine, in looks at a machine.
+/// Searches in one pass for a replica that could change its zone, and slots of each kind of machine that are looked at.
+pub const EXCHANGE_SEARCHES_MOST: usize = 4;
+pub const EXCHANGE_TARGETS: usize = 2;
+/// How long a replica has run before it may be moved, in seconds: a start counts for users only if nothing stops it sooner.
+pub const SETTLED_S: f64 = 30.0;
+/// What a search for work that could make room costs per machine, in looks at a machine.
 pub const VICTIM_STEPS: u64 = 8;
 /// Processor time of one look at a machine in a placement pass, in nanoseconds, measured on a
 /// machine of 2026.
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -3,11 +3,13 @@
 //! says what else should be hired and what should make room.
 
 mod aims;
+mod exchange;
 mod gangs;
 mod limits;
 mod places;
 mod ready;
 mod room;
+mod services;
 mod slots;
 
 use crate::cloud::Kind;
@@ -22,6 +24,7 @@
 use oatloom_protocol::wire::{Flavor, JobSpec, Shape};
 use places::Places;
 pub use ready::expected;
+use services::ServiceTurns;
 use slots::{Search, When, Yard, usable};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -155,6 +158,8 @@
     placed_tasks: Option<room::PlacedTasks<'a>>,
     /// Searches for work that could make room where an image is.
     image_searches: usize,
+    /// Searches for replicas that could change their zone.
+    exchange_searches: usize,
     plan: Plan,
 }
 
@@ -175,6 +180,7 @@
         searches: 0,
         placed_tasks: None,
         image_searches: 0,
+        exchange_searches: 0,
         plan: Plan::default(),
     };
     // One task of a kind runs first, as the document has it: of an array that has waited long and never begun, whatever its
@@ -191,10 +197,17 @@
     }
     // Arrays get what their rates allow first, then what is left idle.
     let mut beyond = Vec::new();
+    let mut services = ServiceTurns::new(&order, book, &guaranteed, now);
     for (id, _) in &order {
         if pass.plan.starts.len() >= PLACE_BATCH {
             break;
         }
+        let is_service = book.get(id).is_some_and(|job| job.spec.shape == Shape::Service);
+        let turn = match is_service {
+            true => services.next(id, &mut pass, book, guaranteed.contains_key(id)),
+            false => Some(id.clone()),
+        };
+        let Some(id) = &turn else { continue };
         let Some(job) = book.jobs.get_mut(id) else {
             continue;
         };
@@ -313,6 +326,7 @@
         let most = self.within_limit(job) as usize;
         let mut places = Places::new(self, &need, self.zones(job), None);
         let mut wanting = false;
+        let mut nothing_comes = false;
         let mut urgent = None;
         let down = job.spec.shape == Shape::Service && job.up;
         for index in tasks.iter().take(most) {
@@ -338,11 +352,15 @@
                 job.spec.shape != Shape::Array || owed || self.starved(&need)
             });
             if !places.later(self, &need, urgent) {
+                nothing_comes = true;
                 break;
             }
         }
         if wanting && !(down && self.make_room_at_image(&need, book)) {
-            self.make_room(&need, book, owed, &[None]);
+            let made = self.make_room(&need, book, owed, &[None]);
+            if !made && nothing_comes {
+                self.exchange(&need, book);
+            }
         }
     }
 
--- a/crates/core/src/placement/slots.rs
+++ b/crates/core/src/placement/slots.rs
@@ -29,6 +29,26 @@
     fetching: Vec<(String, f64)>,
 }
 
+impl Slot<'_> {
+    pub fn when(&self) -> When {
+        self.when
+    }
+
+    /// Place of its kind in [`Yard::kinds`].
+    pub fn kind(&self) -> usize {
+        self.kind
+    }
+
+    /// Whether its machine is kept for no job.
+    pub fn is_unreserved(&self) -> bool {
+        self.reserved.is_none()
+    }
+
+    pub fn has_room(&self, room: &Room) -> bool {
+        self.free.fits(room)
+    }
+}
+
 /// Which slots are meant: those where a task may start now, or those that come later.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum When {
