--- a/crates/state/tests/crashes.rs
+++ b/crates/state/tests/crashes.rs
@@ -394,7 +394,10 @@
 }
 
 fn seeds(first: u64, count: u64) {
-    let more: u64 = std::env::var("OATLOOM_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(0);
+    let more = match std::env::var("OATLOOM_SEEDS") {
+        Ok(seeds) => seeds.parse().expect("OATLOOM_SEEDS is a number of seeds"),
+        Err(_) => 0,
+    };
     let (mut crashes, mut snapshots, mut refused) = (0, 0, 0);
     for seed in first..first + count + more {
         let mut world = World::new(seed);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -400,7 +400,10 @@
 
 /// How many days are to be played beyond the fixed ones, as `OATLOOM_SEEDS` has it.
 pub fn more_days() -> u64 {
-    std::env::var("OATLOOM_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(0)
+    let Ok(seeds) = std::env::var("OATLOOM_SEEDS") else { return 0 };
+    seeds
+        .parse()
+        .unwrap_or_else(|e| panic!("OATLOOM_SEEDS is not a number of seeds: {seeds:?}: {e}"))
 }
 
 fn obeyed(report: Option<Report>) -> Event {
