--- a/tests/served.rs
+++ b/tests/served.rs
@@ -303,6 +303,28 @@
     }
 }
 
+/// The largest services and gangs of each class, on the same days: half of them begin in full within four minutes. The other
+/// tests of this file looked at it as well, and in vain: what was not submitted yet had no tasks, so that all of them were
+/// done, and each service and gang counted as begun one second after the start of the day. What it shows:
+/// seed 1001, `class weave` 0.333 and `class forecast` 0.467; 22 of the 200 days from 1000 on, 27 before services were completed.
+/// Mostly these are the widest gangs; which decision it is was not traced.
+#[test]
+fn half_of_the_largest_services_and_gangs_begin_in_time() {
+    let mut short = Vec::new();
+    for seed in 1_000..1_006 + more_days() {
+        let mut world = drawn(seed, SMALL);
+        let watch = watched(&format!("seed {seed}"), &mut world, |_| {});
+        if watch.bound.of() < OUT_OF_REACH {
+            continue;
+        }
+        let served = watch.served(&world).into_iter().map(|(name, s)| (name, s.largest_whole.of()));
+        short.extend(
+            served.filter(|(_, share)| *share < 0.5).map(|(name, share)| (seed, name, share)),
+        );
+    }
+    assert!(short.is_empty(), "{short:?}");
+}
+
 /// Further days, on some of which half of the capacity is gone for good while everything comes at three times the rate. Those
 /// on which even all machines together could not have half of the replicas up are no service's to win.
 #[test]
--- a/tests/world/served.rs
+++ b/tests/world/served.rs
@@ -46,8 +46,10 @@
     pub up: Share,
     /// Questions that got an answer in time.
     pub answered: Share,
-    /// Of the largest jobs, those that had begun within four minutes: services and gangs in full, arrays with a task.
+    /// Of the largest arrays, those that had begun within four minutes, with a task.
     pub largest: Share,
+    /// Of the largest services and gangs, those that had begun within four minutes, in full.
+    pub largest_whole: Share,
     /// The same with arrays in full: each task, or as many as their team's limit allows at once, there or done. Told, and
     /// not asked for: an array is paced to its deadline and may be in time without it.
     pub largest_full: Share,
@@ -68,9 +70,10 @@
         let [a, s, d, u, q, l] =
             [self.accepted, self.started, self.done, self.up, self.answered, self.largest]
                 .map(Share::of);
+        let w = self.largest_whole.of();
         write!(
             f,
-            "accepted {a:.3}, started {s:.3}, done {d:.3}, up {u:.3}, answered {q:.3}, largest {l:.3}"
+            "accepted {a:.3}, started {s:.3}, done {d:.3}, up {u:.3}, answered {q:.3}, largest {l:.3} (whole {w:.3})"
         )
     }
 }
@@ -102,7 +105,9 @@
             _ => u32::MAX,
         };
         let mut wanted = 0.0;
-        for user in &world.users {
+        // Of a job that was not submitted yet the checker knows no tasks, all of which count as done: services and gangs were
+        // taken to have begun before they came.
+        for user in world.users.iter().filter(|user| user.at <= world.now) {
             let id = user.spec.id.as_str();
             let there = here.get(id).copied().unwrap_or(0).min(user.spec.tasks);
             let asked = match user.spec.shape {
@@ -165,7 +170,11 @@
                 served.up.add(up.wanted, up.had);
                 if came(user.at, BEGIN_MS) && user.abort_at.is_none() && large(spec) {
                     let soon = |at: Option<&u64>| at.is_some_and(|at| *at <= user.at + BEGIN_MS);
-                    served.largest.add(1, soon(self.begun.get(id)).into());
+                    let begun = match spec.shape {
+                        Shape::Array => &mut served.largest,
+                        _ => &mut served.largest_whole,
+                    };
+                    begun.add(1, soon(self.begun.get(id)).into());
                     served.largest_full.add(1, soon(self.full.get(id)).into());
                 }
                 // Cancelled work apart.
