Review: case 2, a service whose amounts are 0 silences all controllers

Cause: preemptible_places subtracts the task's amounts from the room of a machine until they no longer fit, which is never for amounts of 0. Scripts keep their files in a folder of their own.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,10 +3,13 @@
 set -um
 cd "$(dirname "$0")/../.."
 [ -x target/review/review-cases ] && [ -x target/release/oatloom ] && [ -x target/release/oatloom-state ] || exit 2
+TMPDIR=$(mktemp -d) || exit 2
+export TMPDIR
 # The case and all that it starts are one process group, which ends with this script.
-timeout --foreground 118 target/review/review-cases both-rules review/3/record.txt &
+timeout --foreground 118 target/review/review-cases one-machine review/3/record.txt &
 group=$!
-trap 'kill -KILL -- -"$group" 2>/dev/null' EXIT
+trap 'exit 2' TERM INT
+trap 'kill -KILL -- -"$group" 2>/dev/null; rm -rf "$TMPDIR"' EXIT
 wait "$group"
 status=$?
 [ "$status" -le 2 ] || status=2
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,10 +2,11 @@
 //! Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
 mod base;
-mod both_rules;
 mod huge_array;
 mod one_machine;
 mod region;
+mod silence;
+mod zero_amounts;
 
 use base::Record;
 use std::path::{Path, PathBuf};
@@ -22,8 +23,8 @@
     record.line(&format!("case {case}, trouble {trouble}"));
     let held = match case.as_str() {
         "huge-array" => huge_array::run(&repository, record.clone(), trouble),
+        "zero-amounts" => zero_amounts::run(&repository, record.clone(), trouble),
         "one-machine" => one_machine::run(&repository, record.clone(), trouble),
-        "both-rules" => both_rules::run(&repository, record.clone(), trouble),
         _ => None,
     };
     let (text, status) = match held {
