Placement: how many tasks fit is computed, not counted without an end

Cause: preemptible_places took the amounts of a task away from the room that arrays of lower rank hold until they no longer fitted. Amounts of 0, or lost in rounding (1e-17), never end that; 1e-12 takes some 10^13 steps. It runs on the thread that renews the lease, for each class whose jobs must start sooner than a machine boots. Evidence: eight stacks of the busy threads of three controllers over 15 s, all in that loop, called by keep_ready; none in a search, none in another function. Change: Resources::count_fitting divides, and stops at what the caller can use. keep_ready asks for no more tasks than it keeps room for. Nothing that was accepted is refused.

--- a/crates/core/src/placement/gangs.rs
+++ b/crates/core/src/placement/gangs.rs
@@ -3,10 +3,12 @@
 use super::*;
 
 impl Pass<'_> {
-    /// Tasks of the job that each zone could take at once if arrays of lower rank were preempted.
+    /// Tasks of the job that each zone could take at once if arrays of lower rank were preempted, up to
+    /// `max_tasks` on one machine.
     pub(super) fn preemptible_places(
         &mut self,
         need: &Need,
+        max_tasks: usize,
         job_table: &JobTable,
     ) -> BTreeMap<Zone, usize> {
         let mut zones = BTreeMap::new();
@@ -22,12 +24,7 @@
                 }
             }
             self.plan.steps += m.assigned.len() as u64;
-            let mut places = 0;
-            while room.fits(&need.room) {
-                room.subtract(&need.room);
-                places += 1;
-            }
-            *zones.entry(m.zone.clone()).or_default() += places;
+            *zones.entry(m.zone.clone()).or_default() += room.count_fitting(&need.room, max_tasks);
         }
         zones
     }
--- a/crates/core/src/placement/standby.rs
+++ b/crates/core/src/placement/standby.rs
@@ -60,7 +60,9 @@
         let need = Need::new(self.settings, job);
         let tasks = job.spec.tasks as usize;
         let sites = self.candidate_sites(job);
-        let preemptible_places = self.preemptible_places(&need, job_table);
+        // Keeps no machines for tasks that the team's limit would not allow.
+        let count = (count as usize).min(self.tasks_within_limit(job) as usize / tasks);
+        let preemptible_places = self.preemptible_places(&need, count * tasks, job_table);
         let preemptible_at = |site: &Option<Zone>| match site {
             Some(zone) => preemptible_places.get(zone).copied().unwrap_or(0),
             None => preemptible_places.values().sum(),
@@ -69,8 +71,6 @@
         // Spot machines first, hired if need be: otherwise expensive machines are kept for good
         // because they are already there.
         let kinds = if job.spec.spot { vec![Some(true), None] } else { vec![None] };
-        // Keeps no machines for tasks that the team's limit would not allow.
-        let count = (count as usize).min(self.tasks_within_limit(job) as usize / tasks);
         for _ in preemptible..count {
             let room = kinds.iter().find_map(|spot| {
                 self.cheapest_site(&need, tasks, &sites, *spot).map(|s| (s, *spot))
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -26,6 +26,22 @@
             && need.memory_gb <= self.memory_gb + EPSILON
     }
 
+    /// How many tasks that take `need` each fit, at most `limit`. Computed instead of counted by repeated
+    /// subtraction: an amount that is 0, or too small to change what it is subtracted from, fits any number of times.
+    pub fn count_fitting(&self, need: &Resources, limit: usize) -> usize {
+        if !self.fits(need) {
+            return 0;
+        }
+        let fitting = |room: f64, each: f64| {
+            if each > 0.0 { ((room + EPSILON) / each).floor() } else { f64::INFINITY }
+        };
+        let count = fitting(self.cpus, need.cpus)
+            .min(fitting(self.gpus, need.gpus))
+            .min(fitting(self.memory_gb, need.memory_gb));
+        // The conversion saturates.
+        (count as usize).min(limit)
+    }
+
     pub fn add(&mut self, other: &Resources) {
         self.cpus += other.cpus;
         self.gpus += other.gpus;
--- a/crates/core/src/workers/tests.rs
+++ b/crates/core/src/workers/tests.rs
@@ -15,6 +15,48 @@
     }
 }
 
+fn resources(cpus: f64, gpus: f64, memory_gb: f64) -> Resources {
+    Resources { cpus, gpus, memory_gb }
+}
+
+/// For ordinary amounts the number is the one that is found by taking away one task after another.
+#[test]
+fn fitting_tasks_are_those_that_can_be_taken_away() {
+    let room = resources(48.0, 4.0, 192.0);
+    let sizes = [0.1, 0.25, 0.3, 0.7, 1.0, 1.5, 2.6, 4.0, 5.3, 48.0, 49.0, 193.0];
+    for cpus in sizes {
+        for gpus in [0.0, 0.1, 0.5, 1.0, 3.0, 4.0, 5.0] {
+            for memory_gb in sizes {
+                let need = resources(cpus, gpus, memory_gb);
+                let (mut left, mut counted) = (room, 0);
+                while left.fits(&need) {
+                    left.subtract(&need);
+                    counted += 1;
+                }
+                assert_eq!(room.count_fitting(&need, 1_000), counted, "{need:?}");
+                assert_eq!(room.count_fitting(&need, 3), counted.min(3), "{need:?}");
+            }
+        }
+    }
+}
+
+/// Guards against counting without an end, which no amount may cause.
+#[test]
+fn any_number_of_tasks_that_take_nothing_fits() {
+    let room = resources(48.0, 4.0, 192.0);
+    for tiny in [0.0, f64::MIN_POSITIVE, 1e-300, 1e-17, 1e-12, -1.0, f64::NEG_INFINITY] {
+        for need in [resources(tiny, tiny, tiny), resources(tiny, 0.0, 0.0)] {
+            assert_eq!(room.count_fitting(&need, 100_000), 100_000, "{need:?}");
+            assert_eq!(Resources::default().count_fitting(&need, 7), 7, "{need:?}");
+        }
+        assert_eq!(room.count_fitting(&resources(tiny, 1.0, tiny), 100_000), 4, "{tiny}");
+        assert_eq!(room.count_fitting(&resources(tiny, 5.0, tiny), 100_000), 0, "{tiny}");
+    }
+    for excessive in [1e300, f64::MAX, f64::INFINITY, f64::NAN] {
+        assert_eq!(room.count_fitting(&resources(0.0, 0.0, excessive), 100_000), 0, "{excessive}");
+    }
+}
+
 #[test]
 fn reports_are_ordered_by_session_and_sequence_number() {
     let mut fleet = Fleet::default();
--- a/tests/world/upgrades.rs
+++ b/tests/world/upgrades.rs
@@ -4,8 +4,9 @@
 use super::state::limits::{Refusals, StateLimits, changes_digest};
 use super::{SETTINGS, Site, World, settings};
 use oatloom_core::controller::Controller;
+use oatloom_core::jobs::{LiveRecord, live_key};
 use oatloom_core::store::{StoreOp, StoreReply};
-use oatloom_protocol::wire::Change;
+use oatloom_protocol::wire::{Change, JobSpec, Txn};
 use rand_chacha::ChaCha8Rng;
 
 /// The last lines of the limits in the default settings, and the announced lower limits that are inserted after them.
@@ -51,6 +52,18 @@
         (0..count).for_each(|n| self.add_user(n, rng, faults_end_at));
     }
 
+    /// Writes the record of an accepted job, whatever it says, as if an earlier version had accepted it. Its user submits it
+    /// again at the given time, before any machine is up: the checker sees no task of a job that nobody has submitted.
+    pub fn add_stored_job(&mut self, spec: JobSpec, resubmitted_at: u64) {
+        let record = LiveRecord { spec: spec.clone(), wall_ms: self.clock(0).wall_ms, part: None };
+        let value = serde_json::to_value(record).expect("a record");
+        let changes = vec![Change::put(live_key(&spec.id), value)];
+        let write = StoreOp::Txn(Txn { conditions: Vec::new(), changes });
+        let reply = self.state.execute(self.now, &write);
+        assert!(matches!(reply, StoreReply::Committed(_)), "{reply:?}");
+        self.add_job_at(spec, resubmitted_at);
+    }
+
     /// All controllers that are started from now on run the previous version, until each is upgraded.
     pub fn begin_with_previous_version(&mut self) {
         self.nodes.iter_mut().for_each(|node| node.version = Version::Previous);
