Tests: graphs of nodes that take nothing, and durations of any size

Cause: the tests of the endless pass had single jobs, and amounts alone. An emulated worker added such a duration to its clock beyond the end of u64: in a release build a save that never ends would have ended at once.

--- a/crates/emulator/src/worker.rs
+++ b/crates/emulator/src/worker.rs
@@ -352,7 +352,8 @@
     ) {
         let base = external.get_progress(spec, key.1);
         let run_time_ms = (spec.estimate_s * self.run_time_factor * 1000.0) as u64;
-        let (phase, until) = (TaskPhase::Running, now + run_time_ms.saturating_sub(base));
+        let (phase, until) =
+            (TaskPhase::Running, now.saturating_add(run_time_ms.saturating_sub(base)));
         self.tasks.insert(
             key,
             TaskAttempt { phase, until, running_since: now, base_progress_ms: base, ..task },
@@ -517,7 +518,7 @@
                     match self.tasks.get_mut(&key) {
                         Some(task) if task.phase == TaskPhase::Running && can_save => {
                             task.phase = TaskPhase::Saving;
-                            task.until = now + (spec.save_s * 1000.0) as u64;
+                            task.until = now.saturating_add((spec.save_s * 1000.0) as u64);
                             task.stopped_at = Some(now);
                             self.changed = true;
                         }
@@ -585,7 +586,8 @@
             ImageFetch::Range(min, max) => now + rng.random_range(*min..*max),
             ImageFetch::Rate(rate, fetched_at) => {
                 let duration_ms = (spec.image_gb / rate.max(0.001) * 1000.0) as u64;
-                (*fetched_at.entry(spec.image.clone()).or_insert(now + duration_ms)).max(now)
+                (*fetched_at.entry(spec.image.clone()).or_insert(now.saturating_add(duration_ms)))
+                    .max(now)
             }
         }
     }
--- a/tests/tiny_tasks.rs
+++ b/tests/tiny_tasks.rs
@@ -138,6 +138,31 @@
     run_days(40_200, Shape::Gang);
 }
 
+/// Guards against the same pass without an end for jobs that run the nodes of a graph.
+#[test]
+fn a_graph_whose_nodes_take_nothing_silences_no_controller() {
+    init_log();
+    let day = |(seed, tiny): (u64, Amounts)| {
+        (format!("a graph of {tiny:?}"), move || {
+            let kind = |shape: &str| {
+                serde_json::json!({"shape": shape, "num_cpus": tiny.cpus, "num_gpus": tiny.gpus,
+                    "memory": tiny.memory_gb * 1e9, "expectS": 30})
+            };
+            let graph = serde_json::json!({"key": "secret-1", "addition": "all", "seal": true,
+                "kinds": {"task": kind("task"), "gang": kind("gang")},
+                "nodes": [{"name": "a", "kind": "task", "shards": 3}, {"name": "b", "kind": "gang", "shards": 2},
+                    {"name": "c", "kind": "task", "needs": ["a", "b"]}]});
+            let mut world = ordinary_day(seed);
+            world.set_operator_settings("((graphs . #t))");
+            world.clients.add_client("quick", serde_json::from_value(graph).expect("an addition"));
+            world.run();
+            world::assert_finished(&world, &format!("seed {seed}, a graph of {tiny:?}"));
+            assert_eq!((world.clients.done_graphs, &world.clients.violations), (1, &Vec::new()));
+        })
+    };
+    run_within(DAY_LIMIT, (40_700..).zip(TINY).map(day).collect());
+}
+
 /// A job of any amounts that an earlier version has accepted is loaded, known to its user, who submits it again, and placed.
 /// Guards against the same pass without an end where no submission was checked.
 #[test]
@@ -185,6 +210,44 @@
     run_within(DAY_LIMIT, (40_400..).zip(cases).map(day).collect());
 }
 
+/// Sets one duration of a job, or the size of its image.
+type SetDuration = fn(&mut JobSpec, f64);
+
+/// Whatever one duration of a job says, nobody waits for an answer, and the job is known until its user cancels it.
+#[test]
+fn no_duration_silences_a_controller() {
+    init_log();
+    let fields: [(&str, SetDuration); 5] = [
+        ("expectS", |job, value| job.estimate_s = value),
+        ("snapshotS", |job, value| job.checkpoint_s = value),
+        ("flushS", |job, value| job.save_s = value),
+        ("dueS", |job, value| job.deadline_s = Some(value)),
+        ("pullGb", |job, value| job.image_gb = value),
+    ];
+    let mut days = Vec::new();
+    for shape in [Shape::Service, Shape::Array, Shape::Gang] {
+        for (field, set) in fields {
+            for value in [0.0, f64::MIN_POSITIVE, 1e-12, 1e300, f64::MAX] {
+                let name = format!("{shape:?} with {field} {value:e}");
+                let seed = 40_800 + days.len() as u64;
+                let day_name = name.clone();
+                days.push((name, move || {
+                    let mut world = ordinary_day(seed);
+                    let mut job = urgent_job(JOB, shape, 3, amounts(1.0, 1.0, 1.0));
+                    set(&mut job, value);
+                    world.add_job_at(job, 2_000);
+                    world.cancel_last(120_000);
+                    world.run_until(110_000);
+                    assert!(world.is_accepted(JOB), "{day_name}: the job is not known");
+                    world.run();
+                    world::assert_finished(&world, &day_name);
+                }));
+            }
+        }
+    }
+    run_within(DAY_LIMIT, days);
+}
+
 /// Guards against machines on which so many tasks were placed that their reports were too long to be accepted: their leases
 /// ended, the job's tasks came and went, and so did those of others.
 #[test]
