Records: damaged counts cost a leader neither all its time nor its memory

Found by reading on from the endless pass: no submission can bring it about, a damaged record can. Change: a loaded job has 1 to 100,000 tasks, as the protocol says, and stays known; a range of nodes ends with the largest number.

--- a/crates/core/src/jobs/records.rs
+++ b/crates/core/src/jobs/records.rs
@@ -6,6 +6,7 @@
 use oatloom_graph::records::{GraphPart, GraphPartEnd};
 use oatloom_ledger::rollup::{JobUsage, UsageByDay};
 use oatloom_policy::charges::ChargeRecord;
+use oatloom_protocol::constants::MAX_TASKS;
 use oatloom_protocol::ids::*;
 use oatloom_protocol::wire::{Failure, JobSpec, JobStatus, JobView};
 use serde::de::DeserializeOwned;
@@ -77,6 +78,8 @@
         if let Some(text) = dependencies {
             spec.dependencies = dependency_list::unpack(&text)?;
         }
+        // A damaged record may contain any number.
+        spec.tasks = spec.tasks.clamp(1, MAX_TASKS);
         Ok(Self { spec, wall_ms, part })
     }
 }
--- a/crates/core/src/jobs/tests.rs
+++ b/crates/core/src/jobs/tests.rs
@@ -194,6 +194,23 @@
     assert_eq!(job.record(1), record);
 }
 
+/// Guards against a damaged record whose number of tasks takes all memory of each leader that loads it, or that has no task.
+#[test]
+fn a_damaged_number_of_tasks_is_limited_to_what_the_protocol_allows() {
+    let mut written = serde_json::to_value(LiveRecord {
+        spec: spec("req-1", Shape::Gang, 7),
+        wall_ms: 5,
+        part: None,
+    })
+    .unwrap();
+    for (stored, loaded) in [(0, 1), (1, 1), (7, 7), (MAX_TASKS, MAX_TASKS), (u32::MAX, MAX_TASKS)]
+    {
+        written["s"]["shards"] = stored.into();
+        let record: LiveRecord = serde_json::from_value(written.clone()).unwrap();
+        assert_eq!(record.spec.tasks, loaded, "{stored}");
+    }
+}
+
 fn retries_used_up() -> Failure {
     Failure {
         class: "c".into(),
--- a/crates/graph/src/node_ranges.rs
+++ b/crates/graph/src/node_ranges.rs
@@ -48,8 +48,9 @@
     /// The nodes, at most `max_count` of them.
     pub fn iter(&self, max_count: usize) -> impl Iterator<Item = NodeId> + '_ {
         let range_nodes = |(first, length): &(u32, u32)| {
+            let last = length.checked_sub(1).map(|rest| first.saturating_add(rest));
             let first = *first;
-            (0..*length).filter_map(move |n| first.checked_add(n)).map(NodeId)
+            last.into_iter().flat_map(move |last| first..=last).map(NodeId)
         };
         self.0.iter().flat_map(range_nodes).take(max_count)
     }
@@ -71,4 +72,17 @@
         let broken: NodeRanges = serde_json::from_str("[[4294967295,9],[0,4294967295]]").unwrap();
         assert!(broken.iter(20).count() <= 20 && broken.get(5).is_none());
     }
+
+    /// Guards against steps through billions of numbers that are no nodes, on the thread that decides, for a damaged record.
+    #[test]
+    fn a_range_ends_with_the_largest_node() {
+        let (ended, has_ended) = std::sync::mpsc::channel();
+        std::thread::spawn(move || {
+            let broken = NodeRanges(vec![(u32::MAX, u32::MAX); 1_000]);
+            ended.send(broken.iter(2_000).count())
+        });
+        assert_eq!(has_ended.recv_timeout(std::time::Duration::from_secs(30)), Ok(1_000));
+        let none = NodeRanges(vec![(7, 0), (u32::MAX, 0)]);
+        assert_eq!(none.iter(20).count(), 0);
+    }
 }
