--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -275,7 +275,7 @@
 
 // --- Workers ----------------------------------------------------------------
 
-/// Bytes that a task takes in a worker's report at most.
+/// Bytes that a task of a job with a six-digit id takes in a worker's report at most.
 pub const MAX_TASK_REPORT_BYTES: usize = 128;
 /// Maximum number of tasks on a machine: its report, a request body, lists them all, and beside them as many that have ended
 /// and wait to be forgotten.
