--- /dev/null
+++ b/review/standin-2/cases.rs
@@ -0,0 +1,209 @@
+//! The cases of the review. Each returns 1 if its rule was broken, 0 if it held, 2 if it could not run.
+
+use crate::cloud::{Flavor, Phase, Times};
+use crate::json::s;
+use crate::region::{Region, Site, job, with};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+pub fn run(case: &str, directory: &Path, trouble: bool) -> i32 {
+    let result = match case {
+        "sick" => sick(directory, trouble),
+        "gather" => gather(directory, trouble),
+        other => {
+            eprintln!("no case {other}");
+            return 2;
+        }
+    };
+    result.unwrap_or_else(|e| {
+        println!("the case could not run: {e}");
+        2
+    })
+}
+
+type Outcome = Result<i32, Box<dyn std::error::Error>>;
+
+pub fn secs(s: f64) -> Duration {
+    Duration::from_secs_f64(s)
+}
+
+/// Settings like those of the community kitchens (kitchen-loom), with few machines.
+pub fn kitchen(flavors: Vec<Flavor>) -> Site {
+    Site {
+        zones: vec!["kordelio", "pylaia", "oraiokastro"],
+        flavors,
+        times: Times { report: 4.0, lease: 26.0, gang_wait: 40.0, gang_peer: 4.0 },
+        cancel_s: 46.0,
+        teams: vec![("kitchen-desk", 0.0, 0.0)],
+        state: (120.0, 25.0, 8.0, 16),
+        cloud: (3.0, 4.0),
+        memory_mb: 40.0,
+        sockets: 600,
+        objectives: "\n[[facts.objectives]]\nkind = \"wait\"\nclass = \"meal-plan\"\nwithin_s = 6.0\nshare = 0.93\n",
+        fetch_gb_per_s: 10.0,
+    }
+}
+
+pub fn machine(label: &'static str, cpus: f64, memory_gb: f64, zones: Vec<(&'static str, usize)>) -> Flavor {
+    Flavor { label, cpus, gpus: 0.0, memory_gb, boot: secs(1.5), zones }
+}
+
+/// Whether the machine has room for the job's task, by what runs there.
+fn has_room(region: &Region, host: &str, cpus: f64, capacity: f64) -> bool {
+    let inner = region.cloud.inner.lock().unwrap();
+    inner.machines.get(host).is_some_and(|m| {
+        let active = m.tasks.iter().filter(|t| !matches!(t.phase, Phase::Ended(_)));
+        let used: f64 = active.filter_map(|t| inner.specs.get(&t.job)).map(|spec| spec.get("cpus").f64()).sum();
+        used + cpus <= capacity + 1e-6
+    })
+}
+
+/// Machines fail every task that they start, for 12 s. A job that failed on them then waits for ever, while they are
+/// sound again and have room.
+fn sick(directory: &Path, trouble: bool) -> Outcome {
+    let site = kitchen(vec![machine("koufari-16", 16.0, 64.0, vec![("pylaia", 2)])]);
+    let mut region = Region::start(directory, &site)?;
+    if !region.wait_up(secs(15.0)) {
+        return Err("the controllers did not come up".into());
+    }
+    // Long work that holds both machines of the zone.
+    let long = job(1, "meal-plan", "kitchen-desk", "sweep", 2, (9.0, 0.0, 20.0), 600.0);
+    region.submit(&long, 0);
+    let until = Instant::now() + secs(20.0);
+    let running = |region: &Region| {
+        let inner = region.cloud.inner.lock().unwrap();
+        inner.machines.values().filter(|m| m.tasks.iter().any(|t| t.phase == Phase::Running)).count()
+    };
+    while running(&region) < 2 && Instant::now() < until {
+        std::thread::sleep(secs(0.1));
+    }
+    if running(&region) < 2 {
+        return Err("the long work did not start".into());
+    }
+    let set_sick = |region: &Region, sick: bool| {
+        let mut inner = region.cloud.inner.lock().unwrap();
+        inner.machines.values_mut().for_each(|m| m.faults.sick = sick);
+        drop(inner);
+        region.note(format!("trouble: the machines fail what they start: {sick}"));
+    };
+    if trouble {
+        set_sick(&region, true);
+    }
+    let hit = job(2, "portion-tally", "kitchen-desk", "sweep", 1, (2.0, 0.0, 5.3), 2.0);
+    region.submit(&hit, 1);
+    std::thread::sleep(secs(12.0));
+    if trouble {
+        set_sick(&region, false);
+    }
+    let sound_since = Instant::now();
+    // The same job under another name shows that a machine fits and has room.
+    let probe = with(hit.clone(), "nameId", s("req-000003"));
+    region.submit(&probe, 2);
+    let probed = region.wait_for("req-000003", "done", secs(1.0), secs(20.0));
+    let limit = secs(92.0).saturating_sub(sound_since.elapsed());
+    let done = region.wait_for("req-000002", "done", secs(4.0), limit);
+    let waited = sound_since.elapsed().as_secs_f64();
+    let hosts: Vec<String> = region.cloud.inner.lock().unwrap().machines.keys().cloned().collect();
+    let roomy = hosts.iter().filter(|host| has_room(&region, host, 2.0, 16.0)).count();
+    let ended = region.ended();
+    region.note(format!(
+        "verdict: probe done after {probed:?} s; the job done after {done:?} s, waited {waited:.1} s since the machines are sound; {roomy} machines have room; controllers ended: {ended:?}"
+    ));
+    println!("probe done after {probed:?} s, job done after {done:?} s, {waited:.1} s after the trouble, {roomy} machines with room");
+    if probed.is_none() {
+        return Err("the probe did not run".into());
+    }
+    Ok(i32::from(done.is_none() && waited >= 90.0 && roomy > 0))
+}
+
+/// The region that the project's own `oatloomctl up` sets up, with a slower fetch of images.
+fn small_region(flavors: Vec<Flavor>, fetch_gb_per_s: f64) -> Site {
+    Site {
+        zones: vec!["a", "b", "c"],
+        flavors,
+        times: Times { report: 1.0, lease: 10.0, gang_wait: 12.0, gang_peer: 2.0 },
+        cancel_s: 20.0,
+        teams: vec![("blue", 0.0, 0.0)],
+        state: (400.0, 100.0, 16.0, 20),
+        cloud: (6.0, 1.0),
+        memory_mb: 200.0,
+        sockets: 1000,
+        objectives: "\n[[facts.objectives]]\nkind = \"finished\"\nclass = \"slow\"\nwithin_s = 24.0\n",
+        fetch_gb_per_s,
+    }
+}
+
+fn running(region: &Region, id: &str) -> usize {
+    let inner = region.cloud.inner.lock().unwrap();
+    let of_job = |t: &&crate::cloud::Task| t.job == id && t.phase == Phase::Running;
+    inner.machines.values().map(|m| m.tasks.iter().filter(of_job).count()).sum()
+}
+
+fn wait_until(limit: Duration, mut holds: impl FnMut() -> bool) -> bool {
+    let until = Instant::now() + limit;
+    while Instant::now() < until {
+        if holds() {
+            return true;
+        }
+        std::thread::sleep(secs(0.05));
+    }
+    false
+}
+
+/// A machine stops with all that is on it. Its gang goes on beside a machine that has to fetch the image first, for longer
+/// than the others wait: the gang is given up and begun again without end.
+fn gather(directory: &Path, trouble: bool) -> Outcome {
+    let site = small_region(vec![machine("std", 16.0, 64.0, vec![("a", 3)])], 0.15);
+    let mut region = Region::start(directory, &site)?;
+    if !region.wait_up(secs(15.0)) {
+        return Err("the controllers did not come up".into());
+    }
+    // Long work with an image that is fetched at once, which keeps three machines up.
+    let long = job(1, "slow", "blue", "standing", 3, (8.5, 0.0, 1.0), 0.0);
+    let long = with(with(long, "pullGb", crate::json::f(0.05)), "bundle", s("img-01"));
+    region.submit(&long, 0);
+    // Keeps each of the three on a machine of its own.
+    if !wait_until(secs(20.0), || running(&region, "req-000001") == 3) {
+        return Err("the long work did not start".into());
+    }
+    let gang = job(2, "slow", "blue", "group", 2, (7.0, 0.0, 4.0), 8.0);
+    let gang = with(gang, "pullGb", crate::json::f(0.15 * 15.0));
+    region.submit(&gang, 1);
+    if !wait_until(secs(30.0), || running(&region, "req-000002") == 2) {
+        return Err("the gang did not start".into());
+    }
+    std::thread::sleep(secs(1.0));
+    let mut hit = String::new();
+    if trouble {
+        let mut inner = region.cloud.inner.lock().unwrap();
+        let on = |m: &&mut crate::cloud::Machine| m.tasks.iter().any(|t| t.job == "req-000002" && t.index == 1);
+        if let Some(m) = inner.machines.values_mut().find(on) {
+            m.faults.dead = true;
+            m.tasks.clear();
+            hit = m.id.clone();
+        }
+    }
+    region.note(format!("trouble: machine {hit:?} stops with all that is on it"));
+    let since = Instant::now();
+    let (mut done, mut roomy) = (None, usize::MAX);
+    while done.is_none() && since.elapsed() < secs(90.5) {
+        done = region.wait_for("req-000002", "done", secs(4.0), secs(4.0).min(secs(91.0).saturating_sub(since.elapsed())));
+        // Machines with room for one more of its tasks, beside what its tasks hold already.
+        let hosts: Vec<String> = region.cloud.inner.lock().unwrap().machines.keys().cloned().collect();
+        if since.elapsed() > secs(10.0) {
+            roomy = roomy.min(hosts.iter().filter(|host| has_room(&region, host, 7.0, 16.0)).count());
+        }
+    }
+    let waited = since.elapsed().as_secs_f64();
+    let attempts = {
+        let inner = region.cloud.inner.lock().unwrap();
+        let of_gang = inner.starts.iter().filter(|(j, ..)| j == "req-000002");
+        of_gang.map(|(_, _, attempt, _)| *attempt).collect::<std::collections::BTreeSet<u64>>().len()
+    };
+    let ended = region.ended();
+    region.note(format!(
+        "verdict: done after {done:?} s, waited {waited:.1} s; {attempts} attempts began; always {roomy} machines or more with room; controllers ended: {ended:?}"
+    ));
+    println!("gang done after {done:?} s, waited {waited:.1} s; {attempts} attempts began; {roomy} machines or more with room");
+    Ok(i32::from(done.is_none() && waited >= 90.0 && roomy > 0))
+}
