Review: case 5, a gang beside a long fetch is begun again without end

When a task of a gang exits as incomplete, the whole attempt is given up, with the partner that still fetches the image; the next attempt takes the same machines and begins the fetch anew.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -185,7 +185,7 @@
     }
     region.note(format!("trouble: machine {hit:?} stops with all that is on it"));
     let since = Instant::now();
-    let (mut done, mut roomy) = (None, usize::MAX);
+    let (mut done, mut roomy) = (None, 3);
     while done.is_none() && since.elapsed() < secs(90.5) {
         done = region.wait_for("req-000002", "done", secs(4.0), secs(4.0).min(secs(91.0).saturating_sub(since.elapsed())));
         // Machines with room for one more of its tasks, beside what its tasks hold already.
