Review: case 4, a replica of a service is not started again beside room

Cause: a replica whose best slot would fetch for over 25 s waits for a machine that has its image; where that machine is being emptied, the slot stays the worse one, and the pass breaks off each time, with a reservation made anew.

The stand-ins got prices and a rate of fetches; a controller ends with the process that started it. No code is changed.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -10,6 +10,7 @@
     let result = match case {
         "gather" => gather(directory, trouble),
         "wide" => wide(directory, trouble),
+        "replica" => replica(directory, trouble),
         other => {
             eprintln!("no case {other}");
             return 2;
@@ -41,11 +42,12 @@
         sockets: 600,
         objectives: "\n[[facts.objectives]]\nkind = \"wait\"\nclass = \"meal-plan\"\nwithin_s = 6.0\nshare = 0.93\n",
         fetch_gb_per_s: 10.0,
+        fetch_factor: 1.0,
     }
 }
 
 pub fn machine(label: &'static str, cpus: f64, memory_gb: f64, zones: Vec<(&'static str, usize)>) -> Flavor {
-    Flavor { label, cpus, gpus: 0.0, memory_gb, boot: secs(1.5), zones }
+    Flavor { label, cpus, gpus: 0.0, memory_gb, price: 0.05 * cpus, boot: secs(1.5), zones }
 }
 
 /// Whether the machine has room for the job's task, by what runs there.
@@ -72,6 +74,7 @@
         sockets: 1000,
         objectives: "\n[[facts.objectives]]\nkind = \"finished\"\nclass = \"slow\"\nwithin_s = 24.0\n",
         fetch_gb_per_s,
+        fetch_factor: 1.0,
     }
 }
 
@@ -182,3 +185,84 @@
     // 400 or 422 would hold the rule.
     Ok(i32::from(status == Some(201) && done.is_none() && waited >= 90.0 && starts == 0 && always_room))
 }
+
+/// A machine stops with all that is on it, a replica of a service too. The replica is not started again, on neither of two
+/// machines with room, for as long as the one that has its image is being emptied.
+fn replica(directory: &Path, trouble: bool) -> Outcome {
+    let types = vec![
+        machine("tiny", 3.0, 64.0, vec![("a", 1)]),
+        machine("small", 4.0, 64.0, vec![("a", 1)]),
+        Flavor { price: 10.0, ..machine("big", 48.0, 64.0, vec![("a", 1)]) },
+    ];
+    let types = types.into_iter().map(|t| Flavor { boot: secs(1.0), ..t }).collect();
+    let mut site = small_region(types, 0.15);
+    site.fetch_factor = 4.0 / 3.0;
+    let mut region = Region::start(directory, &site)?;
+    if !region.wait_up(secs(15.0)) {
+        return Err("the controllers did not come up".into());
+    }
+    let only = |flavor: &str| crate::json::Json::List(vec![s(flavor)]);
+    let on = |region: &Region, id: &str| -> Option<(String, Phase)> {
+        let inner = region.cloud.inner.lock().unwrap();
+        let found = inner.machines.values().find_map(|m| {
+            let task = m.tasks.iter().find(|t| t.job == id && !matches!(t.phase, Phase::Ended(_)))?;
+            Some((m.id.clone(), task.phase.clone()))
+        });
+        found
+    };
+    let runs = |region: &Region, id: &str| on(region, id).is_some_and(|(_, phase)| phase == Phase::Running);
+    // A service of one replica, with an image that takes 25.3 s by the catalogue and 19 s here.
+    let service = job(1, "slow", "blue", "standing", 1, (2.0, 0.0, 1.0), 0.0);
+    region.submit(&with(service, "pullGb", crate::json::f(3.8)), 0);
+    if !wait_until(secs(15.0), || on(&region, "req-000001").is_some()) {
+        return Err("the service was not placed".into());
+    }
+    // A long task with the same image on the small machine, and a service that takes most of the big one.
+    let long = job(2, "slow", "blue", "sweep", 1, (1.0, 0.0, 1.0), 600.0);
+    let long = with(with(long, "pullGb", crate::json::f(3.8)), "flavors", only("small"));
+    region.submit(&long, 1);
+    let large = job(3, "slow", "blue", "standing", 1, (40.0, 0.0, 1.0), 0.0);
+    let large = with(with(large, "pullGb", crate::json::f(0.05)), "bundle", s("img-01"));
+    region.submit(&with(large, "flavors", only("big")), 2);
+    if !wait_until(secs(40.0), || ["req-000001", "req-000002", "req-000003"].iter().all(|id| runs(&region, id))) {
+        return Err("the work did not start".into());
+    }
+    std::thread::sleep(secs(0.5));
+    let hit = on(&region, "req-000001").map(|(host, _)| host).unwrap_or_default();
+    if trouble {
+        let mut inner = region.cloud.inner.lock().unwrap();
+        if let Some(m) = inner.machines.get_mut(&hit) {
+            m.faults.dead = true;
+            m.tasks.clear();
+        }
+        drop(inner);
+        region.note(format!("trouble: machine {hit} stops with all that is on it"));
+    }
+    let since = Instant::now();
+    let (mut back, mut roomy, mut next) = (None, 2, 0.0);
+    while since.elapsed() < secs(90.5) {
+        if runs(&region, "req-000001") {
+            back = Some(since.elapsed().as_secs_f64());
+            break;
+        }
+        let capacity = |flavor: &str| if flavor == "big" { 48.0 } else { 4.0 };
+        let others: Vec<(String, f64)> = {
+            let inner = region.cloud.inner.lock().unwrap();
+            let up = inner.machines.values().filter(|m| m.id != hit && m.address.is_some());
+            up.map(|m| (m.id.clone(), capacity(&m.flavor))).collect()
+        };
+        roomy = roomy.min(others.iter().filter(|(host, cpus)| has_room(&region, host, 2.0, *cpus)).count());
+        if since.elapsed().as_secs_f64() >= next {
+            next += 5.0;
+            region.poll("req-000001", (next as usize / 5) % 3);
+        }
+        std::thread::sleep(secs(0.1));
+    }
+    let waited = since.elapsed().as_secs_f64();
+    let ended = region.ended();
+    region.note(format!(
+        "verdict: the service runs again after {back:?} s, waited {waited:.1} s; always {roomy} machines or more with room; controllers ended: {ended:?}"
+    ));
+    println!("the service runs again after {back:?} s, waited {waited:.1} s; {roomy} machines or more with room");
+    Ok(i32::from(back.is_none() && waited >= 90.0 && roomy > 0))
+}
--- a/review/standin-2/cloud.rs
+++ b/review/standin-2/cloud.rs
@@ -14,6 +14,7 @@
     pub cpus: f64,
     pub gpus: f64,
     pub memory_gb: f64,
+    pub price: f64,
     pub boot: Duration,
     pub zones: Vec<(&'static str, usize)>,
 }
@@ -101,6 +102,8 @@
     flavors: Vec<Flavor>,
     times: Times,
     fetch_gb_per_s: f64,
+    /// How fast images are fetched beside that rate; PROTOCOL: "give or take a third".
+    fetch_factor: f64,
     controllers: Mutex<Vec<(String, SocketAddr)>>,
     log: Arc<dyn Fn(String) + Send + Sync>,
 }
@@ -150,7 +153,7 @@
 }
 
 impl Cloud {
-    pub fn new(flavors: Vec<Flavor>, times: Times, fetch_gb_per_s: f64, log: Arc<dyn Fn(String) + Send + Sync>) -> Arc<Self> {
+    pub fn new(flavors: Vec<Flavor>, times: Times, fetch_gb_per_s: f64, fetch_factor: f64, log: Arc<dyn Fn(String) + Send + Sync>) -> Arc<Self> {
         let inner = Inner {
             machines: BTreeMap::new(),
             hires: BTreeMap::new(),
@@ -165,7 +168,7 @@
             team_cpus: BTreeMap::new(),
             cancel_s: 1e9,
         };
-        Arc::new(Self { inner: Mutex::new(inner), flavors, times, fetch_gb_per_s, controllers: Mutex::new(Vec::new()), log })
+        Arc::new(Self { inner: Mutex::new(inner), flavors, times, fetch_gb_per_s, fetch_factor, controllers: Mutex::new(Vec::new()), log })
     }
 
     pub fn set_controllers(&self, controllers: Vec<(String, SocketAddr)>) {
@@ -195,8 +198,8 @@
                         ("memoryGb", f(v.memory_gb)),
                         ("localGb", f(60.0)),
                         ("fetchGbPerS", f(self.fetch_gb_per_s)),
-                        ("rate", f(0.82)),
-                        ("spotPrice", f(0.21)),
+                        ("rate", f(v.price)),
+                        ("spotPrice", f(v.price / 2.0)),
                         ("readyS", f(v.boot.as_secs_f64())),
                         ("yards", Json::List(v.zones.iter().map(|(z, _)| s(z)).collect())),
                     ])
@@ -437,7 +440,7 @@
             .filter_map(|t| image(t).map(|(name, gb)| (name, gb, t.since)))
             .collect();
         for (name, gb, since) in pulling {
-            if !m.images.contains(&name) && now.duration_since(since).as_secs_f64() >= gb / self.fetch_gb_per_s {
+            if !m.images.contains(&name) && now.duration_since(since).as_secs_f64() >= gb / (self.fetch_gb_per_s * self.fetch_factor) {
                 m.images.push(name);
             }
         }
--- a/review/standin-2/region.rs
+++ b/review/standin-2/region.rs
@@ -8,6 +8,7 @@
 use std::fs::{File, create_dir_all, read_to_string, remove_dir_all, write};
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -26,6 +27,7 @@
     pub sockets: usize,
     pub objectives: &'static str,
     pub fetch_gb_per_s: f64,
+    pub fetch_factor: f64,
 }
 
 pub struct Node {
@@ -47,7 +49,7 @@
 }
 
 unsafe extern "C" {
-    fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64, a: u64, b: u64, c: u64) -> i32;
 }
 
 /// A link between two controllers.
@@ -127,7 +129,7 @@
         let run = deploy.lines().find_map(|l| l.strip_prefix("run = ")).unwrap_or_default();
         let program: Vec<String> = run.trim().trim_matches('"').split(' ').map(str::to_owned).collect();
         let state = State::new(site.zones.len(), site.state.2, site.state.3);
-        let cloud = Cloud::new(site.flavors.clone(), site.times, site.fetch_gb_per_s, record.clone());
+        let cloud = Cloud::new(site.flavors.clone(), site.times, site.fetch_gb_per_s, site.fetch_factor, record.clone());
         let cloud_address = cloud.address()?;
         let mut nodes = Vec::new();
         let mut meshes = Vec::new();
@@ -197,7 +199,10 @@
         }
         node.starts += 1;
         let log = File::create(self.directory.join(format!("{}-{}.log", node.name, node.starts)))?;
-        let child = Command::new(&self.program[0])
+        let mut command = Command::new(&self.program[0]);
+        // A controller ends with the process that started it, however that ends (PR_SET_PDEATHSIG, SIGKILL).
+        unsafe { command.pre_exec(|| if prctl(1, 9, 0, 0, 0) == 0 { Ok(()) } else { Err(std::io::Error::last_os_error()) }) };
+        let child = command
             .args(&self.program[1..])
             .arg(&node.settings)
             .env("LOG_LEVEL", std::env::var("CASE_LOG").unwrap_or_else(|_| "info".into()))
@@ -221,14 +226,6 @@
         self.note(line);
     }
 
-    pub fn signal(&self, i: usize, stop: bool) {
-        if let Some(child) = &self.nodes[i].child {
-            // SIGSTOP is 19 and SIGCONT 18 on Linux. The process was started here.
-            unsafe { kill(child.id() as i32, if stop { 19 } else { 18 }) };
-        }
-        self.note(format!("{}: {}", self.nodes[i].name, if stop { "stands still" } else { "goes on" }));
-    }
-
     /// Sets the links from and to a controller, in both directions.
     pub fn set_links(&self, node: usize, link: Link) {
         for (_, _, found) in self.links.iter().filter(|(i, j, _)| *i == node || *j == node) {
