--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -4,6 +4,7 @@
 mod failed_here;
 mod http;
 mod json;
+mod many_tasks;
 mod region;
 mod state;
 mod urgent_array;
@@ -187,6 +188,17 @@
         }
     }
 
+    /// Memory that a controller holds, in MB; 0 while it does not run.
+    pub fn memory_mb(&self, n: usize) -> f64 {
+        let id = self.processes.lock().unwrap()[n].as_ref().map(|child| child.id());
+        let Some(id) = id else { return 0.0 };
+        let text = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let kib = text.lines().find_map(|line| {
+            line.strip_prefix("VmRSS:")?.trim().strip_suffix(" kB")?.trim().parse::<f64>().ok()
+        });
+        kib.unwrap_or(0.0) / 1024.0
+    }
+
     /// Whether a controller has ended by itself.
     pub fn has_ended(&self, n: usize) -> bool {
         self.processes.lock().unwrap()[n]
@@ -317,6 +329,7 @@
     watch(log.clone());
     let verdict = match case.as_str() {
         "urgent-array" => urgent_array::run(&program, log.clone(), trouble),
+        "many-tasks" => many_tasks::run(&program, log.clone(), trouble),
         "wide-gang" => wide_gang::run(&program, log.clone(), trouble),
         "failed-here" => failed_here::run(&program, log.clone(), trouble),
         _ => Verdict::CouldNotRun,
--- a/review/standin-3/region.rs
+++ b/review/standin-3/region.rs
@@ -75,6 +75,7 @@
     /// Whether every task fails on every machine.
     faulty: bool,
     cancelled: BTreeMap<String, Instant>,
+    last_start: Instant,
 }
 
 pub struct Region {
@@ -113,6 +114,7 @@
             breaches: Vec::new(),
             faulty: false,
             cancelled: BTreeMap::new(),
+            last_start: Instant::now(),
         };
         let inner = Mutex::new(inner);
         let region = Arc::new(Self {
@@ -182,6 +184,11 @@
         .sum()
     }
 
+    /// When a task last began to be on a machine.
+    pub fn last_start(&self) -> Instant {
+        self.inner.lock().unwrap().last_start
+    }
+
     pub fn machines(&self) -> usize {
         self.inner.lock().unwrap().machines.len()
     }
@@ -464,6 +471,7 @@
                                 break;
                             }
                         }
+                        inner.last_start = now;
                         self.check_start(&mut inner, host, &key.0, &spec);
                         if inner.done.contains_key(&key.0) {
                             next = Task { phase: Phase::Ended, cause: "done", ..next };
