Review, case 8: room that is being cleared is given to work of a lower rank in the same pass

Cause: make_room counts a machine's free room and reserves the machine only after the pass, so that jobs of a lower rank that come later in the pass are started there.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")" || exit 2
 root=$(cd ../.. && pwd) || exit 2
 [ -x "$root/target/release/oatloom" ] && [ -x "$root/target/review-3/cases" ] || exit 2
-exec "$root/target/review-3/cases" wide-gang "$root/target/release/oatloom" record.txt
+exec "$root/target/review-3/cases" cleared-room "$root/target/release/oatloom" record.txt
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -1,13 +1,13 @@
 //! Runs the cases of the review: starts the project's controllers as processes, plays the state service, the cloud, the
 //! machines and the users on loopback, and checks one rule.
 
+mod cleared_room;
 mod http;
 mod json;
 mod many_tasks;
 mod region;
 mod short_tasks;
 mod state;
-mod wide_gang;
 
 use json::Json;
 use region::{MachineType, Region, Times};
@@ -329,7 +329,7 @@
     let verdict = match case.as_str() {
         "many-tasks" => many_tasks::run(&program, log.clone(), trouble),
         "short-tasks" => short_tasks::run(&program, log.clone(), trouble),
-        "wide-gang" => wide_gang::run(&program, log.clone(), trouble),
+        "cleared-room" => cleared_room::run(&program, log.clone(), trouble),
         _ => Verdict::CouldNotRun,
     };
     let (text, status) = match verdict {
