--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,3 +4,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
 rustc --edition 2024 -O -o target/review-2/review-2 review/standin-2/main.rs
+bash review/build-3.sh
