--- a/review/standin-3/region.rs
+++ b/review/standin-3/region.rs
@@ -543,6 +543,12 @@
                     }
                     _ => continue,
                 }
+                let text = match next.phase {
+                    Phase::Gathering => "gathers with its gang".to_owned(),
+                    Phase::Running => "runs".to_owned(),
+                    _ => format!("has ended, {}", next.cause),
+                };
+                self.note(Some(&spec), &format!("worker {host}: {} try {} {text}", key.0, key.1));
                 let m = inner.machines.get_mut(host).expect("a machine");
                 m.changed = true;
                 m.tasks.insert(key, next);
@@ -613,6 +619,13 @@
         self.inner.lock().unwrap().cancelled.entry(job.to_owned()).or_insert(Instant::now());
     }
 
+    /// Records what happens to a task, unless its job has so many that the record would be unreadable.
+    fn note(&self, spec: Option<&Json>, text: &str) {
+        if spec.is_some_and(|spec| spec.get("shards").number() <= 100.0) {
+            self.log.write(text);
+        }
+    }
+
     fn begin(&self, spec: &Json, task: Task, now: Instant) -> Task {
         let run_s = spec.get("expectS").number();
         let until = now + Duration::from_secs_f64(run_s.clamp(0.0, 100_000.0));
@@ -664,11 +677,16 @@
                         cause: refused.unwrap_or(""),
                         stored: false,
                     };
+                    let answer = refused.unwrap_or("taken");
+                    let text =
+                        format!("worker {host}: is told to run {} try {}: {answer}", key.0, key.1);
+                    self.note(spec.as_ref(), &text);
                     let m = inner.machines.get_mut(host).expect("a machine");
                     m.changed = true;
                     m.tasks.insert(key, task);
                 }
                 "stop" => {
+                    self.note(spec.as_ref(), &format!("worker {host}: is told to stop {}", key.0));
                     let m = inner.machines.get_mut(host).expect("a machine");
                     if let Some(task) = m.tasks.get_mut(&key).filter(|t| t.phase != Phase::Ended) {
                         let grace = order.get("windDownS").number();
